Add the design page, build, checks and the interfaces of the modules

Cause: an empty repository; every module needs fixed interfaces before it can be built beside the others.

Weighed: three ways to own placement (docs/design.md, section 2). Taken: one scheduler per availability zone, chosen by rendezvous hashing and fenced by leases that the backend servers grant. A lease in the platform's table was ruled out because placement would stop while the table is down.

Before: nothing. No decision is implemented yet.

--- /dev/null
+++ b/src/base/time.hpp
@@ -0,0 +1,48 @@
+// Monotonic time inside a process and its conversion to Unix time on the wire.
+#ifndef POPLARRAMP_BASE_TIME_HPP
+#define POPLARRAMP_BASE_TIME_HPP
+
+#include <chrono>
+#include <cstdint>
+
+namespace poplarramp
+{
+
+using milliseconds = std::chrono::milliseconds;
+
+// Monotonic time of this process. Deadlines are stored as time points.
+using time_point =
+    std::chrono::time_point<std::chrono::steady_clock, milliseconds>;
+
+// Later than every deadline.
+constexpr time_point no_deadline = time_point::max();
+
+// Reads the monotonic clock. Thread safe.
+time_point monotonic_now();
+
+// Converts between the monotonic clock of this process and Unix milliseconds.
+// Fixed when it is made, so that a step of the wall clock does not move
+// deadlines that are already in memory. Thread safe: immutable.
+class clock_mapping
+{
+public:
+    clock_mapping(time_point monotonic, std::int64_t unix_ms)
+        : monotonic_(monotonic), unix_ms_(unix_ms)
+    {
+    }
+
+    // Pairs the two clocks of this machine as they are now.
+    static clock_mapping of_this_process();
+
+    // `no_deadline` is 0 on the wire, in both directions.
+    time_point from_unix(std::int64_t unix_ms) const;
+    std::int64_t to_unix(time_point time) const;
+
+private:
+    time_point monotonic_;
+    std::int64_t unix_ms_;
+};
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/cli/cli.hpp
@@ -0,0 +1,23 @@
+// Command line of the one binary.
+#ifndef POPLARRAMP_CLI_CLI_HPP
+#define POPLARRAMP_CLI_CLI_HPP
+
+namespace poplarramp
+{
+
+// Exit codes, listed in docs/operations.md.
+enum exit_code : int
+{
+    exit_ok = 0,
+    exit_failed = 1,
+    exit_usage = 2,
+    exit_unreachable = 3,
+    exit_pending = 4,
+};
+
+// Runs the subcommand named by the arguments and returns its exit code.
+int run_command(int argc, char** argv);
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/model/codec.hpp
@@ -0,0 +1,60 @@
+// JSON form of the model, the same in the table, between entry VMs and towards
+// backend servers. Deadlines are Unix milliseconds on the wire.
+#ifndef POPLARRAMP_MODEL_CODEC_HPP
+#define POPLARRAMP_MODEL_CODEC_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+#include "model/config.hpp"
+#include "model/job.hpp"
+#include "model/task.hpp"
+
+#include <json/value.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace poplarramp
+{
+
+// All functions are thread safe. A decoder returns nothing and fills `why` with
+// `bad_request` and the path of the first wrong member; members that are absent
+// keep their default, unknown members are ignored so that versions can mix.
+
+Json::Value to_json(const job_request& request, const clock_mapping& base);
+Json::Value to_json(const job_outcome& outcome);
+Json::Value to_json(const job& item, const clock_mapping& base);
+Json::Value to_json(const task& item, const clock_mapping& base);
+Json::Value to_json(const task_status& status, const clock_mapping& base);
+Json::Value to_json(const task_event& event);
+Json::Value to_json(const sheet& plan);
+Json::Value to_json(const configuration& config);
+
+std::optional<job_request> job_request_from_json(const Json::Value& json,
+                                                 const clock_mapping& base,
+                                                 failure& why);
+std::optional<job_outcome> job_outcome_from_json(const Json::Value& json,
+                                                 failure& why);
+std::optional<job>
+job_from_json(const Json::Value& json, const clock_mapping& base, failure& why);
+std::optional<task> task_from_json(const Json::Value& json,
+                                   const clock_mapping& base,
+                                   failure& why);
+std::optional<task_status> task_status_from_json(const Json::Value& json,
+                                                 const clock_mapping& base,
+                                                 failure& why);
+std::optional<task_event> task_event_from_json(const Json::Value& json,
+                                               failure& why);
+std::optional<sheet> sheet_from_json(const Json::Value& json, failure& why);
+std::optional<configuration> configuration_from_json(const Json::Value& json,
+                                                     failure& why);
+
+// Compact text of a value, and the strict reverse: no comments, no duplicate
+// keys, nothing after the value, nesting to 32 levels.
+std::string json_text(const Json::Value& json);
+std::optional<Json::Value> parse_json(std::string_view text, failure& why);
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/model/sheet.cpp
@@ -0,0 +1,45 @@
+#include "model/sheet.hpp"
+
+#include <algorithm>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+template <class Item>
+const Item* find_by_name(const std::vector<Item>& items, std::string_view name)
+{
+    const auto found =
+        std::find_if(items.begin(),
+                     items.end(),
+                     [name](const Item& item) { return item.name == name; });
+    return found == items.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+const customer* find_customer(const sheet& plan, std::string_view name)
+{
+    return find_by_name(plan.customers, name);
+}
+
+const job_kind* find_kind(const sheet& plan, std::string_view name)
+{
+    return find_by_name(plan.kinds, name);
+}
+
+const availability_zone* find_zone(const sheet& plan, std::string_view name)
+{
+    return find_by_name(plan.zones, name);
+}
+
+bool may_run_in(const job_kind& kind, std::string_view zone)
+{
+    return kind.zones.empty() ||
+           std::find(kind.zones.begin(), kind.zones.end(), zone) !=
+               kind.zones.end();
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/platform/member_list.hpp
@@ -0,0 +1,49 @@
+// The platform's membership list. It lags behind the truth.
+#ifndef POPLARRAMP_PLATFORM_MEMBER_LIST_HPP
+#define POPLARRAMP_PLATFORM_MEMBER_LIST_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace poplarramp
+{
+
+enum class vm_role
+{
+    entry,
+    backend_server,
+};
+
+struct vm_member
+{
+    std::string id;
+    vm_role role = vm_role::entry;
+    std::string zone;
+    std::string rack;
+    // "127.0.0.1:7001": inner port of an entry VM, task port of a backend
+    // server.
+    std::string address;
+    bool leaving = false;
+};
+
+struct member_list_reply
+{
+    failure error;
+    std::vector<vm_member> members;
+};
+
+// Calls `done` exactly once, on the control thread, never before it returns.
+struct member_list
+{
+    std::function<void(time_point deadline,
+                       std::function<void(member_list_reply)> done)>
+        read;
+};
+
+} // namespace poplarramp
+
+#endif
