Add the HTTP message types

Cause: the inner protocol, the adapters and the HTTP library are built beside each other and need one plain type for a request that does not include Beast. No behaviour changes.

--- /dev/null
+++ b/src/http/message.hpp
@@ -0,0 +1,53 @@
+// HTTP requests and replies as plain data, so that no decision includes Beast.
+#ifndef POPLARRAMP_HTTP_MESSAGE_HPP
+#define POPLARRAMP_HTTP_MESSAGE_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+
+#include <functional>
+#include <string>
+
+namespace poplarramp
+{
+
+struct http_request
+{
+    std::string method = "POST";
+    // Path and query, for example "/v1/jobs?wait_until=0".
+    std::string target;
+    std::string body;
+    // Value of the Authorization header; empty: none.
+    std::string authorization;
+};
+
+struct http_response
+{
+    int status = 200;
+    std::string body;
+    std::string content_type = "application/json";
+};
+
+struct http_reply
+{
+    // `unreachable`: no connection, the request was not sent. `timeout` or
+    // `answer_lost`: it may have been handled.
+    failure error;
+    http_response response;
+};
+
+// Sends a request to "ip:port". Calls `done` exactly once, on the control
+// thread, never before it returns, at the deadline at the latest.
+using http_caller = std::function<void(std::string address,
+                                       http_request request,
+                                       time_point deadline,
+                                       std::function<void(http_reply)> done)>;
+
+// Handles a request on the control thread. `respond` is called once, at once or
+// later, on the control thread.
+using http_handler = std::function<void(
+    http_request request, std::function<void(http_response)> respond)>;
+
+} // namespace poplarramp
+
+#endif
