Place jobs in one availability zone: first scheduler

Cause: the control and entry modules need a scheduler that places jobs before the guarantees are there.

It queues by urgency, deadline and arrival, places gangs all or none in one server, one rack or the fewest racks, counts slots, and handles started, ended, requeue, cancel and adopt. Jobs that need the same share a lane: when the first of a lane does not fit, the lane is not tried again until capacity changes.

Ruled out: one ordered queue of all jobs, because each decision would try thousands of equal jobs again.

Not there yet: guarantees, victims, fairness, health, estimates, reservations.

--- /dev/null
+++ b/src/policy/cluster.hpp
@@ -0,0 +1,193 @@
+// Backend servers of one availability zone, their free and used accelerators
+// and slots, and the tasks on them.
+#ifndef POPLARRAMP_POLICY_CLUSTER_HPP
+#define POPLARRAMP_POLICY_CLUSTER_HPP
+
+#include "base/time.hpp"
+#include "policy/scheduler.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+namespace poplarramp
+{
+
+// Share of a task or block on the server with index `server`.
+struct part
+{
+    int server = 0;
+    int accelerators = 0;
+};
+
+using part_list = std::vector<part>;
+
+// A placed job as the policy sees it. Numbers are unique and rise with time.
+struct placed_task
+{
+    std::int64_t number = 0;
+    std::string customer;
+    part_list parts;
+    int accelerators = 0;
+    bool pinned = false;
+    bool urgent = false;
+    bool idempotent = true;
+    bool can_checkpoint = false;
+    milliseconds checkpoint_time{0};
+    // Runs in a block of its own customer.
+    bool in_guarantee = false;
+    // A preemption was decided; the parts are still in use.
+    bool stopping = false;
+    time_point started{};
+    // When the task is expected to end.
+    time_point expected_end{};
+};
+
+// Accelerators and slots of one server.
+struct amount
+{
+    int accelerators = 0;
+    int slots = 0;
+};
+
+struct server_state
+{
+    server_info info;
+    int rack = 0;
+    // False once the server was removed.
+    bool known = true;
+    // Control allows new work.
+    bool allowed = true;
+    // Excluded by health; `probing`: one probe task may start.
+    bool unhealthy = false;
+    bool probing = false;
+    // Taken by tasks, including those that are stopping.
+    amount used;
+    // Share of `used` whose tasks are stopping.
+    amount stopping;
+    // Promised to jobs that wait for tasks to stop.
+    amount claimed;
+    // Not available to other guarantees: occupied blocks in full size and
+    // pinned borrowed tasks.
+    amount firm;
+    // Job number of the reservation that drains this server; 0: none.
+    std::int64_t reserved_for = 0;
+    time_point reserved_from = no_deadline;
+    std::vector<std::int64_t> tasks;
+
+    bool placeable() const
+    {
+        return known && allowed && !unhealthy;
+    }
+    // Usable now by a job that may not wait for others to stop.
+    amount free() const;
+    // Usable once the stopping tasks have ended, less what is promised.
+    amount prospective() const;
+    // Capacity left for floating blocks and pinned borrowed tasks.
+    amount unbound() const;
+};
+
+// Not thread safe. Server indexes stay valid for the life of the cluster.
+class cluster
+{
+public:
+    // Adds a server, or brings a removed one back with its current size.
+    int add_server(const server_info& server);
+    // -1 if the server was never added.
+    int find(std::string_view id) const;
+    void set_allowed(int server, bool allowed);
+    void set_health(int server, bool unhealthy, bool probing);
+    void set_reservation(int server, std::int64_t job, time_point from);
+    // Forgets the server; its tasks keep their parts. Returns their numbers.
+    std::vector<std::int64_t> remove_server(int server);
+
+    void add_task(placed_task task);
+    // Precondition: the task exists.
+    void remove_task(std::int64_t number);
+    const placed_task* find_task(std::int64_t number) const;
+    void mark_stopping(std::int64_t number);
+    void mark_started(std::int64_t number,
+                      time_point started,
+                      time_point expected_end);
+    void set_in_guarantee(std::int64_t number, bool in_guarantee);
+
+    // Sign +1 takes, -1 gives back. Every part takes one slot.
+    void claim(std::span<const part> parts, int sign);
+    void change_firm(int server, int accelerators, int slots);
+
+    const std::vector<server_state>& servers() const
+    {
+        return servers_;
+    }
+    const server_state& at(int server) const
+    {
+        return servers_[static_cast<std::size_t>(server)];
+    }
+    // Servers that have accelerators, in order of addition.
+    const std::vector<int>& accelerator_servers() const
+    {
+        return accelerator_servers_;
+    }
+    // Those of each rack.
+    const std::vector<std::vector<int>>& racks() const
+    {
+        return racks_;
+    }
+    const std::map<std::int64_t, placed_task>& tasks() const
+    {
+        return tasks_;
+    }
+    // Best server for a job without accelerators: no accelerators, then the
+    // fewest free slots. -1 if `accepts` refuses all.
+    int slot_server(const std::function<bool(int)>& accepts) const;
+
+    // Largest server and rack among the known servers.
+    int largest_server() const
+    {
+        return largest_server_;
+    }
+    int largest_rack() const
+    {
+        return largest_rack_;
+    }
+
+private:
+    // (has accelerators, free slots, index) of placeable servers with a slot.
+    using slot_key = std::tuple<bool, int, int>;
+
+    server_state& state(int server)
+    {
+        return servers_[static_cast<std::size_t>(server)];
+    }
+    // Runs `change` on the server and keeps the index of free slots.
+    void update(int server, const std::function<void(server_state&)>& change);
+    void use(const placed_task& task, int sign);
+    void index_sizes();
+
+    std::vector<server_state> servers_;
+    std::map<std::string, int, std::less<>> by_id_;
+    std::map<std::string, int> rack_by_name_;
+    std::vector<std::vector<int>> racks_;
+    std::vector<int> accelerator_servers_;
+    std::set<slot_key> by_free_slots_;
+    std::map<std::int64_t, placed_task> tasks_;
+    int largest_server_ = 0;
+    int largest_rack_ = 0;
+};
+
+// Names of the servers instead of their indexes, and the reverse. Unknown
+// servers are left out.
+std::vector<placement_part> named_parts(const cluster& servers,
+                                        std::span<const part> parts);
+part_list indexed_parts(const cluster& servers,
+                        std::span<const placement_part> parts);
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/policy/placement.cpp
@@ -0,0 +1,164 @@
+#include "policy/placement.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <numeric>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+std::optional<part_list>
+find_server(const cluster& servers, int accelerators, const room_function& room)
+{
+    int best = -1;
+    int best_room = 0;
+    for (const int server : servers.accelerator_servers())
+    {
+        const int here = room(server);
+        if (here >= accelerators && (best < 0 || here < best_room))
+        {
+            best = server;
+            best_room = here;
+        }
+    }
+    if (best < 0)
+    {
+        return std::nullopt;
+    }
+    return part_list{{best, accelerators}};
+}
+
+// (room, rack), the racks with the most room first.
+std::vector<std::pair<int, int>> racks_by_room(const cluster& servers,
+                                               const room_function& room)
+{
+    std::vector<std::pair<int, int>> sums;
+    for (std::size_t rack = 0; rack < servers.racks().size(); ++rack)
+    {
+        int sum = 0;
+        for (const int server : servers.racks()[rack])
+        {
+            sum += std::max(0, room(server));
+        }
+        sums.emplace_back(sum, static_cast<int>(rack));
+    }
+    std::sort(sums.begin(),
+              sums.end(),
+              [](const auto& a, const auto& b) {
+                  return std::pair(-a.first, a.second) <
+                         std::pair(-b.first, b.second);
+              });
+    return sums;
+}
+
+} // namespace
+
+int shape_of(int accelerators)
+{
+    if (accelerators <= 0)
+    {
+        return 0;
+    }
+    return static_cast<int>(std::bit_ceil(static_cast<unsigned>(accelerators)));
+}
+
+std::vector<int> choose_racks(const cluster& servers,
+                              int accelerators,
+                              const room_function& room)
+{
+    const auto sums = racks_by_room(servers, room);
+    std::vector<int> chosen;
+    int missing = accelerators;
+    for (std::size_t i = 0; i < sums.size() && sums[i].first > 0; ++i)
+    {
+        if (sums[i].first < missing)
+        {
+            chosen.push_back(sums[i].second);
+            missing -= sums[i].first;
+            continue;
+        }
+        std::size_t last = i;
+        while (last + 1 < sums.size() && sums[last + 1].first >= missing)
+        {
+            ++last;
+        }
+        chosen.push_back(sums[last].second);
+        return chosen;
+    }
+    return {};
+}
+
+std::optional<part_list> fill_smallest_first(std::span<const int> servers,
+                                             int accelerators,
+                                             const room_function& room)
+{
+    std::vector<std::pair<int, int>> rooms;
+    for (const int server : servers)
+    {
+        const int here = room(server);
+        if (here > 0)
+        {
+            rooms.emplace_back(here, server);
+        }
+    }
+    std::sort(rooms.begin(), rooms.end());
+    part_list parts;
+    int missing = accelerators;
+    for (const auto& [here, server] : rooms)
+    {
+        if (missing == 0)
+        {
+            break;
+        }
+        const int taken = std::min(here, missing);
+        parts.push_back({server, taken});
+        missing -= taken;
+    }
+    if (missing > 0)
+    {
+        return std::nullopt;
+    }
+    return parts;
+}
+
+std::optional<part_list> find_place(const cluster& servers,
+                                    int accelerators,
+                                    const span_limits& limits,
+                                    const room_function& room)
+{
+    if (accelerators <= limits.largest_server)
+    {
+        return find_server(servers, accelerators, room);
+    }
+    const auto racks = choose_racks(servers, accelerators, room);
+    if (racks.empty())
+    {
+        return std::nullopt;
+    }
+    if (racks.size() > 1 && accelerators <= limits.largest_rack)
+    {
+        return std::nullopt;
+    }
+    part_list parts;
+    int missing = accelerators;
+    for (const int rack : racks)
+    {
+        const auto& members = servers.racks()[static_cast<std::size_t>(rack)];
+        const int here = std::accumulate(members.begin(),
+                                         members.end(),
+                                         0,
+                                         [&](int sum, int server)
+                                         { return sum + room(server); });
+        const int taken = std::min(here, missing);
+        const auto share = fill_smallest_first(members, taken, room);
+        parts.insert(parts.end(), share->begin(), share->end());
+        missing -= taken;
+    }
+    return parts;
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/policy/queue.hpp
@@ -0,0 +1,103 @@
+// Jobs that wait, in lanes of jobs that need the same: if the first of a lane
+// cannot be placed, the others cannot either.
+#ifndef POPLARRAMP_POLICY_QUEUE_HPP
+#define POPLARRAMP_POLICY_QUEUE_HPP
+
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+
+namespace poplarramp
+{
+
+// Order of the classes: urgent, patient near its latest start, patient.
+enum class queue_class
+{
+    urgent,
+    near_deadline,
+    patient,
+};
+
+struct lane_key
+{
+    queue_class order = queue_class::patient;
+    std::string customer;
+    int accelerators = 0;
+    bool pinned = false;
+    bool idempotent = true;
+    // Estimates, and with them backfill, differ by kind.
+    std::string kind;
+};
+
+bool operator<(const lane_key& a, const lane_key& b);
+
+struct queued_job
+{
+    std::int64_t number = 0;
+    time_point deadline = no_deadline;
+    time_point accepted{};
+    lane_key lane;
+};
+
+// (deadline, accepted, number). A job without a deadline is ordered as if it
+// had to end a day after its acceptance, so that it is not passed for ever.
+using job_order = std::tuple<time_point, time_point, std::int64_t>;
+constexpr milliseconds default_patience{24L * 60 * 60 * 1000};
+job_order order_of(const queued_job& item);
+
+struct lane
+{
+    std::set<job_order> jobs;
+    // State of the cluster in which the first job could not be placed; 0: not
+    // tried.
+    std::uint64_t failed_at = 0;
+};
+
+// Not thread safe.
+class job_queue
+{
+public:
+    // Precondition: the number is not in the queue.
+    void add(const queued_job& item);
+    // False if the number is not in the queue.
+    bool remove(std::int64_t number);
+    // Precondition: the number is in the queue.
+    void change_class(std::int64_t number, queue_class order);
+    const queued_job* find(std::int64_t number) const;
+    int waiting(const std::string& customer) const;
+    int size() const
+    {
+        return static_cast<int>(items_.size());
+    }
+    std::map<lane_key, lane>& lanes()
+    {
+        return lanes_;
+    }
+    const std::map<std::int64_t, queued_job>& items() const
+    {
+        return items_;
+    }
+
+private:
+    std::map<std::int64_t, queued_job> items_;
+    std::map<lane_key, lane> lanes_;
+    std::map<std::string, int> waiting_;
+};
+
+// Share of its guarantee that a customer uses, as a fraction. Jobs without
+// accelerators count as one slot, an eighth of an accelerator.
+struct customer_share
+{
+    std::int64_t used = 0;
+    std::int64_t guaranteed = 1;
+};
+bool smaller_share(const customer_share& a, const customer_share& b);
+constexpr int slots_per_accelerator = 8;
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/tests/policy_scheduler_test.cpp
@@ -0,0 +1,95 @@
+#include "policy/scheduler.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+
+namespace
+{
+
+const time_point start{milliseconds(1'000'000)};
+
+job make_job(const std::string& customer, const std::string& key, int count)
+{
+    job item;
+    item.request.customer = customer;
+    item.request.key = key;
+    item.request.kind = "shape";
+    item.request.accelerators = count;
+    item.accepted = start;
+    return item;
+}
+
+void add_servers(scheduler& zone, int racks, int servers, int accelerators)
+{
+    for (int i = 0; i < racks * servers; ++i)
+    {
+        zone.add_server({"s" + std::to_string(i),
+                         "r" + std::to_string(i / servers),
+                         accelerators,
+                         8});
+    }
+}
+
+} // namespace
+
+TEST_GROUP(scheduler){};
+
+// Guards against a gang that starts in part.
+TEST(scheduler, places_gang_whole_or_not)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 2, 8);
+    CHECK(!zone.submit(make_job("a", "1", 16), start));
+    CHECK(!zone.submit(make_job("a", "2", 9), start));
+    const auto made = zone.decide(start);
+    CHECK_EQUAL(1U, made.size());
+    CHECK_EQUAL(2U, made[0].parts.size());
+    CHECK_EQUAL(1, zone.queued());
+    zone.on_ended("a/1", true, start);
+    CHECK_EQUAL(1U, zone.decide(start).size());
+}
+
+// Guards against a job that passes its urgent neighbour.
+TEST(scheduler, urgent_goes_first)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 1, 1);
+    zone.submit(make_job("a", "1", 1), start);
+    auto urgent = make_job("b", "1", 1);
+    urgent.urgency_class = urgency::urgent;
+    zone.submit(urgent, start);
+    const auto made = zone.decide(start);
+    CHECK_EQUAL(1U, made.size());
+    CHECK(made[0].job_id == "b/1");
+}
+
+// Guards against a ninth task on eight slots.
+TEST(scheduler, respects_slots)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 1, 0);
+    for (int i = 0; i < 9; ++i)
+    {
+        zone.submit(make_job("a", std::to_string(i), 0), start);
+    }
+    CHECK_EQUAL(8U, zone.decide(start).size());
+    CHECK(zone.cancel("a/8"));
+    CHECK_FALSE(zone.cancel("a/0"));
+    zone.requeue("a/0", "", start);
+    CHECK_EQUAL(1, zone.queued());
+}
+
+// Guards against an adopted task whose place is given away again.
+TEST(scheduler, adopted_task_keeps_its_place)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 1, 8);
+    const placement_part place{"s0", 5};
+    zone.adopt(make_job("a", "1", 5), {&place, 1}, start);
+    CHECK_EQUAL(3, zone.free_accelerators());
+    zone.submit(make_job("a", "2", 4), start);
+    CHECK(zone.decide(start).empty());
+}
