--- a/src/policy/cluster.cpp
+++ b/src/policy/cluster.cpp
@@ -110,18 +110,23 @@
 {
     update(server, [](server_state& found) { found.known = false; });
     index_sizes();
-    return at(server).tasks;
+    std::vector<std::int64_t> numbers;
+    for (const auto* task : at(server).tasks)
+    {
+        numbers.push_back(task->number);
+    }
+    return numbers;
 }
 
 void cluster::add_task(placed_task task)
 {
-    for (const auto& share : task.parts)
+    const auto number = task.number;
+    const auto& added = tasks_.emplace(number, std::move(task)).first->second;
+    for (const auto& share : added.parts)
     {
-        state(share.server).tasks.push_back(task.number);
+        state(share.server).tasks.push_back(&added);
     }
-    use(task, 1);
-    const auto number = task.number;
-    tasks_.emplace(number, std::move(task));
+    use(added, 1);
 }
 
 void cluster::remove_task(std::int64_t number)
@@ -131,7 +136,7 @@
     for (const auto& share : found->second.parts)
     {
         auto& list = state(share.server).tasks;
-        list.erase(std::find(list.begin(), list.end(), number));
+        list.erase(std::find(list.begin(), list.end(), &found->second));
     }
     tasks_.erase(found);
 }
--- a/src/policy/cluster.hpp
+++ b/src/policy/cluster.hpp
@@ -79,7 +79,7 @@
     // Job number of the reservation that drains this server; 0: none.
     std::int64_t reserved_for = 0;
     time_point reserved_from = no_deadline;
-    std::vector<std::int64_t> tasks;
+    std::vector<const placed_task*> tasks;
 
     bool placeable() const
     {
--- /dev/null
+++ b/src/policy/decision_round.cpp
@@ -0,0 +1,394 @@
+#include "policy/decision_round.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace poplarramp::detail
+{
+
+namespace
+{
+
+// Bounds the work of one reservation check when many jobs wait long.
+constexpr int most_reservation_tries = 16;
+
+} // namespace
+
+std::vector<decision> decision_round::run()
+{
+    ready_probes();
+    shed();
+    raise();
+    if (!zone_.open)
+    {
+        return std::move(made_);
+    }
+    prepare_blocks();
+    settle_claims();
+    update_reservations();
+    try_holders();
+    try_lanes();
+    return std::move(made_);
+}
+
+void decision_round::ready_probes()
+{
+    for (const int server : zone_.health.take_due_probes(now_))
+    {
+        zone_.servers.set_health(server, true, true);
+        ++zone_.version;
+    }
+}
+
+// Refuses jobs that cannot end in time any more. The estimate may have become
+// shorter since the timer was set.
+void decision_round::shed()
+{
+    const auto past = now_ - milliseconds{1};
+    for (const auto number : zone_.latest_starts.take_due(past))
+    {
+        auto& entry = zone_.jobs.at(number);
+        const auto latest =
+            entry.item.request.deadline - zone_.run_estimate(entry, short_run);
+        if (latest >= now_)
+        {
+            zone_.latest_starts.set(number, latest);
+            continue;
+        }
+        decision made;
+        made.kind = decision_kind::refuse;
+        made.job_id = entry.id;
+        made.code = result_code::shed;
+        made.reason = "the deadline cannot be met any more; not run";
+        made_.push_back(std::move(made));
+        zone_.forget(entry);
+    }
+}
+
+void decision_round::raise()
+{
+    for (const auto number : zone_.rises.take_due(now_))
+    {
+        zone_.queue.change_class(number, queue_class::near_deadline);
+    }
+    for (const auto number : zone_.patience.take_due(now_))
+    {
+        zone_.long_waiting.insert(number);
+        zone_.next_reservation_check = now_;
+    }
+}
+
+void decision_round::prepare_blocks()
+{
+    if (zone_.rebuild_blocks)
+    {
+        zone_.rebuild();
+    }
+    const auto customers = std::exchange(zone_.to_promote, {});
+    for (const auto& customer : customers)
+    {
+        zone_.promote(customer);
+    }
+}
+
+// Places claimed jobs whose victims have stopped. A claim that can no longer
+// be met, because a server went or an adopted task took the room, is dropped.
+void decision_round::settle_claims()
+{
+    const auto waiting = zone_.claims;
+    for (const auto number : waiting)
+    {
+        auto& entry = zone_.jobs.at(number);
+        bool fits = true;
+        bool possible = true;
+        for (const auto& share : entry.plan.parts)
+        {
+            const auto& server = zone_.servers.at(share.server);
+            const auto later = server.prospective();
+            const int left =
+                server.info.accelerators - server.used.accelerators;
+            fits = fits && left >= share.accelerators &&
+                   server.info.slots > server.used.slots;
+            possible = possible && server.placeable() &&
+                       later.accelerators >= 0 && later.slots >= 0;
+        }
+        if (!possible)
+        {
+            zone_.drop_claim(entry);
+        }
+        else if (fits)
+        {
+            made_.push_back(zone_.place_claimed(entry, now_));
+        }
+    }
+}
+
+std::vector<reservation> decision_round::choose_reservations()
+{
+    for (const auto& old : zone_.reservations)
+    {
+        for (const int server : old.servers)
+        {
+            zone_.servers.set_reservation(server, 0, no_deadline);
+        }
+    }
+    std::vector<reservation> chosen;
+    int tries = 0;
+    for (const auto number : zone_.long_waiting)
+    {
+        if (chosen.size() == most_reservations ||
+            tries++ == most_reservation_tries)
+        {
+            break;
+        }
+        const auto& entry = zone_.jobs.at(number);
+        if (zone_.over_quota(entry))
+        {
+            continue;
+        }
+        auto next = choose_reservation(zone_.servers,
+                                       zone_.limits(),
+                                       number,
+                                       entry.accelerators(),
+                                       is_pinned(entry.item),
+                                       now_);
+        if (!next)
+        {
+            continue;
+        }
+        for (const int server : next->servers)
+        {
+            zone_.servers.set_reservation(server, number, next->from);
+        }
+        chosen.push_back(std::move(*next));
+    }
+    return chosen;
+}
+
+void decision_round::update_reservations()
+{
+    const bool over =
+        std::any_of(zone_.reservations.begin(),
+                    zone_.reservations.end(),
+                    [this](const reservation& item)
+                    { return zone_.long_waiting.count(item.job) == 0; });
+    const bool due =
+        !zone_.long_waiting.empty() && now_ >= zone_.next_reservation_check;
+    if (!over && !due)
+    {
+        return;
+    }
+    zone_.next_reservation_check = now_ + reservation_check;
+    auto chosen = choose_reservations();
+    const bool same = std::equal(
+        chosen.begin(),
+        chosen.end(),
+        zone_.reservations.begin(),
+        zone_.reservations.end(),
+        [](const reservation& a, const reservation& b) {
+            return a.job == b.job && a.servers == b.servers && a.from == b.from;
+        });
+    zone_.reservations = std::move(chosen);
+    zone_.version += same ? 0 : 1;
+}
+
+// Holders of reservations are not necessarily first in their lane.
+void decision_round::try_holders()
+{
+    if (zone_.holders_tried_at == zone_.version)
+    {
+        return;
+    }
+    zone_.holders_tried_at = zone_.version;
+    for (const auto& item : zone_.reservations)
+    {
+        const auto found = zone_.jobs.find(item.job);
+        if (found != zone_.jobs.end() &&
+            found->second.phase == job_phase::queued)
+        {
+            try_job(found->second);
+        }
+    }
+}
+
+std::vector<decision_round::open_lane> decision_round::open_lanes()
+{
+    std::vector<open_lane> found;
+    for (auto& [key, waiting] : zone_.queue.lanes())
+    {
+        if (waiting.failed_at != zone_.version)
+        {
+            found.push_back({&key, &waiting, zone_.share_of(key.customer)});
+        }
+    }
+    return found;
+}
+
+// Tries the lanes in order of class, share of the guarantee in use, deadline
+// and arrival, until each is empty or its first job cannot be placed.
+void decision_round::try_lanes()
+{
+    auto lanes = open_lanes();
+    const auto before = [](const open_lane& a, const open_lane& b)
+    {
+        if (a.key->order != b.key->order)
+        {
+            return a.key->order < b.key->order;
+        }
+        if (smaller_share(a.share, b.share) || smaller_share(b.share, a.share))
+        {
+            return smaller_share(a.share, b.share);
+        }
+        return *a.waiting->jobs.begin() < *b.waiting->jobs.begin();
+    };
+    while (!lanes.empty())
+    {
+        const auto next = std::min_element(lanes.begin(), lanes.end(), before);
+        const auto number = std::get<2>(*next->waiting->jobs.begin());
+        const auto customer = next->key->customer;
+        const bool last = next->waiting->jobs.size() == 1;
+        const auto version = zone_.version;
+        const bool placed = try_job(zone_.jobs.at(number));
+        if (zone_.version != version)
+        {
+            // Claims were dropped: their jobs are back in the lanes.
+            if (!placed)
+            {
+                next->waiting->failed_at = zone_.version;
+            }
+            lanes = open_lanes();
+            continue;
+        }
+        if (!placed)
+        {
+            next->waiting->failed_at = zone_.version;
+        }
+        if (!placed || last)
+        {
+            *next = lanes.back();
+            lanes.pop_back();
+        }
+        for (auto& other : lanes)
+        {
+            if (placed && other.key->customer == customer)
+            {
+                other.share = zone_.share_of(customer);
+            }
+        }
+    }
+}
+
+bool decision_round::try_job(job_entry& entry)
+{
+    if (zone_.over_quota(entry))
+    {
+        entry.waits_for = wait_reason::quota;
+        return false;
+    }
+    auto plan = plan_for(entry);
+    if (!plan)
+    {
+        entry.waits_for = wait_reason::capacity;
+        return false;
+    }
+    carry_out(entry, std::move(*plan));
+    return true;
+}
+
+std::optional<job_plan> decision_round::plan_for(const job_entry& entry)
+{
+    const auto need = zone_.need_of(entry, now_);
+    planner search(zone_.servers, zone_.book, zone_.limits(), now_);
+    if (auto plan = search.probe(need))
+    {
+        return plan;
+    }
+    if (auto plan = search.in_guarantee(need))
+    {
+        return plan;
+    }
+    const bool entitled =
+        need.accelerators > 0 &&
+        zone_.book.could_hold(need.customer, need.accelerators);
+    if (entitled && drop_borrowed_claims())
+    {
+        planner again(zone_.servers, zone_.book, zone_.limits(), now_);
+        if (auto plan = again.in_guarantee(need))
+        {
+            return plan;
+        }
+        return again.borrowed(need);
+    }
+    return search.borrowed(need);
+}
+
+// Capacity that urgent jobs have claimed must not delay a guarantee. Once a
+// round, because the jobs claim again when their turn comes. True if a claim
+// was dropped.
+bool decision_round::drop_borrowed_claims()
+{
+    if (std::exchange(claims_dropped_, true))
+    {
+        return false;
+    }
+    const auto waiting = zone_.claims;
+    bool dropped = false;
+    for (const auto number : waiting)
+    {
+        if (zone_.book.block_of(number) == 0)
+        {
+            zone_.drop_claim(zone_.jobs.at(number));
+            dropped = true;
+        }
+    }
+    return dropped;
+}
+
+bool decision_round::fits_now(const part_list& parts) const
+{
+    return std::all_of(
+        parts.begin(),
+        parts.end(),
+        [this](const part& share)
+        {
+            const auto left = zone_.servers.at(share.server).free();
+            return left.slots > 0 && left.accelerators >= share.accelerators;
+        });
+}
+
+decision decision_round::preemption(std::int64_t victim,
+                                    const job_entry& entry,
+                                    const job_plan& plan) const
+{
+    const auto& stopped = zone_.jobs.at(victim);
+    decision made;
+    made.kind = decision_kind::preempt;
+    made.job_id = stopped.id;
+    made.parts =
+        named_parts(zone_.servers, zone_.servers.find_task(victim)->parts);
+    made.checkpoint = stopped.item.can_checkpoint;
+    made.deadline = made.checkpoint ? now_ + reclaim_limit : now_;
+    made.for_job = entry.id;
+    made.for_guarantee_of = plan.in_guarantee ? entry.customer() : "";
+    made.reason = plan.in_guarantee
+                      ? "guarantee of " + entry.customer() + " reclaimed"
+                      : "urgent job of " + entry.customer();
+    return made;
+}
+
+void decision_round::carry_out(job_entry& entry, job_plan plan)
+{
+    for (const auto victim : plan.victims)
+    {
+        made_.push_back(preemption(victim, entry, plan));
+    }
+    if (plan.probe || (plan.victims.empty() && fits_now(plan.parts)))
+    {
+        made_.push_back(zone_.place(entry, plan, now_));
+        return;
+    }
+    zone_.claim(entry, std::move(plan));
+}
+
+} // namespace poplarramp::detail
--- /dev/null
+++ b/src/policy/planner.hpp
@@ -0,0 +1,142 @@
+// Finds the place of one job: in a block of its customer, else borrowed, with
+// preemption victims where they are allowed.
+#ifndef POPLARRAMP_POLICY_PLANNER_HPP
+#define POPLARRAMP_POLICY_PLANNER_HPP
+
+#include "policy/cluster.hpp"
+#include "policy/guarantee.hpp"
+#include "policy/placement.hpp"
+#include "policy/victims.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace poplarramp
+{
+
+struct job_need
+{
+    std::int64_t number = 0;
+    std::string customer;
+    int accelerators = 0;
+    bool pinned = false;
+    bool urgent = false;
+    bool idempotent = true;
+    // When the job is expected to end if it starts now, for backfill.
+    time_point expected_end = no_deadline;
+};
+
+struct job_plan
+{
+    part_list parts;
+    std::vector<std::int64_t> victims;
+    std::int64_t cost = 0;
+    bool in_guarantee = false;
+    // In guarantee: an occupied block, or 0 to open one at `extent`.
+    int block = 0;
+    guarantee_key owner;
+    part_list extent;
+    // Runs as probe task on a server that was excluded.
+    bool probe = false;
+};
+
+// Not thread safe. Reads the cluster and the blocks as they are at each call.
+class planner
+{
+public:
+    planner(const cluster& servers,
+            guarantee_book& book,
+            const span_limits& limits,
+            time_point now);
+
+    // Borrowed place on a server that waits for a probe task.
+    std::optional<job_plan> probe(const job_need& need);
+    // Place in a block of the customer, at the lowest preemption cost. After a
+    // plan was found the caller carries it out and calls `accept` of the book.
+    std::optional<job_plan> in_guarantee(const job_need& need);
+    // Place outside the guarantee, without victims or, for urgent jobs, with.
+    std::optional<job_plan> borrowed(const job_need& need);
+
+private:
+    struct finder;
+    struct candidate;
+
+    finder free_finder() const;
+    finder victim_finder(const victim_cost& cost) const;
+
+    std::vector<std::vector<int>>
+    spans_for(const job_need& need, const std::vector<int>& indexes) const;
+    void in_own_blocks(const job_need& need,
+                       const finder& find,
+                       std::vector<candidate>& found) const;
+    void in_own_block(const job_need& need,
+                      int number,
+                      const finder& find,
+                      std::vector<candidate>& found) const;
+    void in_new_blocks(const job_need& need,
+                       const finder& find,
+                       std::vector<candidate>& found) const;
+    void in_new_small_block(const job_need& need,
+                            int shape,
+                            const finder& find,
+                            std::vector<candidate>& found) const;
+    void in_new_large_block(const job_need& need,
+                            int shape,
+                            const finder& find,
+                            std::vector<candidate>& found) const;
+    void in_racks(const job_need& need,
+                  int shape,
+                  const std::vector<int>& indexes,
+                  const finder& find,
+                  std::vector<candidate>& found) const;
+    std::optional<job_plan> first_kept(std::vector<candidate> found);
+
+    bool open_to(const job_need& need, int server, bool urgent_first) const;
+    std::optional<part_list> free_place(const job_need& need,
+                                        bool urgent_first) const;
+    std::optional<part_list> pinned_place(const job_need& need,
+                                          bool urgent_first);
+    std::optional<part_list> pinned_server(const job_need& need,
+                                           bool urgent_first);
+    std::optional<part_list> pinned_slot(const job_need& need);
+    std::optional<job_plan> with_victims(const job_need& need);
+    int room_with_victims(const job_need& need, int server) const;
+    std::optional<victim_plan> victims_on_any_server(const job_need& need,
+                                                     const finder& find) const;
+    std::optional<victim_plan> victims_on_any_rack(const job_need& need,
+                                                   const finder& find) const;
+    bool keeps_pinned(const part_list& parts);
+
+    const cluster& servers_;
+    guarantee_book& book_;
+    span_limits limits_;
+    time_point now_;
+    bool feasible_;
+};
+
+// Accelerators usable now on a placeable server; 0 if it has no free slot.
+int free_room(const server_state& server);
+
+// The parts, widened by `missing` accelerators of the servers given, smallest
+// rooms first. `parts_are_bound`: the parts are already firm.
+std::optional<part_list> widen(const cluster& servers,
+                               std::span<const int> indexes,
+                               const part_list& parts,
+                               bool parts_are_bound,
+                               int missing);
+
+// Firm amounts that opening or entering a block binds.
+std::vector<firm_change> firm_of_extent(const part_list& extent,
+                                        const part_list& parts);
+std::vector<firm_change> firm_of_entry(const block& target,
+                                       const part_list& parts);
+// Firm amounts of a pinned borrowed task.
+std::vector<firm_change> firm_of_pinned(const part_list& parts);
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/policy/reservation.cpp
@@ -0,0 +1,164 @@
+#include "policy/reservation.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// A task that runs longer than expected is assumed to go on for half of the
+// time that it has run.
+time_point end_of(const placed_task& task, time_point now)
+{
+    if (task.expected_end > now)
+    {
+        return task.expected_end;
+    }
+    return now + (now - task.started) / 2;
+}
+
+// Accelerators that the server can give to the job once all tasks have ended.
+int capacity_for(const server_state& server, std::int64_t job, bool pinned)
+{
+    const bool taken = server.reserved_for != 0 && server.reserved_for != job;
+    if (!server.placeable() || taken)
+    {
+        return 0;
+    }
+    const int unbound = std::max(0, server.unbound().accelerators);
+    return pinned ? std::min(unbound, server.info.accelerators)
+                  : server.info.accelerators;
+}
+
+// When the server is expected to have that many accelerators free.
+time_point
+drained_at(const cluster& servers, int index, int wanted, time_point now)
+{
+    const auto& server = servers.at(index);
+    std::vector<std::pair<time_point, int>> ends;
+    for (const auto* task : server.tasks)
+    {
+        for (const auto& share : task->parts)
+        {
+            if (share.server == index && share.accelerators > 0)
+            {
+                ends.emplace_back(end_of(*task, now), share.accelerators);
+            }
+        }
+    }
+    std::sort(ends.begin(), ends.end());
+    int left = server.prospective().accelerators;
+    auto at = now;
+    for (const auto& [end, accelerators] : ends)
+    {
+        if (left >= wanted)
+        {
+            break;
+        }
+        left += accelerators;
+        at = end;
+    }
+    return at;
+}
+
+// Servers of the list, the first to drain first, until they hold the job.
+std::optional<reservation> drain_list(const cluster& servers,
+                                      const std::vector<int>& indexes,
+                                      std::int64_t job,
+                                      int accelerators,
+                                      bool pinned,
+                                      time_point now)
+{
+    std::vector<std::pair<time_point, int>> order;
+    for (const int index : indexes)
+    {
+        const auto& server = servers.at(index);
+        const int capacity = capacity_for(server, job, pinned);
+        if (capacity > 0)
+        {
+            order.emplace_back(drained_at(servers, index, capacity, now),
+                               index);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    reservation result{job, {}, now};
+    int missing = accelerators;
+    for (const auto& [at, index] : order)
+    {
+        if (missing <= 0)
+        {
+            break;
+        }
+        missing -= capacity_for(servers.at(index), job, pinned);
+        result.servers.push_back(index);
+        result.from = at;
+    }
+    if (missing > 0)
+    {
+        return std::nullopt;
+    }
+    return result;
+}
+
+void keep_earlier(std::optional<reservation>& best,
+                  std::optional<reservation> next)
+{
+    if (next && (!best || next->from < best->from))
+    {
+        best = std::move(next);
+    }
+}
+
+} // namespace
+
+std::optional<reservation> choose_reservation(const cluster& servers,
+                                              const span_limits& limits,
+                                              std::int64_t job,
+                                              int accelerators,
+                                              bool pinned,
+                                              time_point now)
+{
+    std::optional<reservation> best;
+    if (accelerators <= limits.largest_server)
+    {
+        for (const int index : servers.accelerator_servers())
+        {
+            const auto& server = servers.at(index);
+            if (capacity_for(server, job, pinned) >= accelerators)
+            {
+                keep_earlier(
+                    best,
+                    reservation{job,
+                                {index},
+                                drained_at(servers, index, accelerators, now)});
+            }
+        }
+        return best;
+    }
+    if (accelerators <= limits.largest_rack)
+    {
+        for (const auto& members : servers.racks())
+        {
+            keep_earlier(
+                best,
+                drain_list(servers, members, job, accelerators, pinned, now));
+        }
+        return best;
+    }
+    const auto room = [&](int index)
+    {
+        return capacity_for(servers.at(index), job, pinned);
+    };
+    std::vector<int> indexes;
+    for (const int rack : choose_racks(servers, accelerators, room))
+    {
+        const auto& members = servers.racks()[static_cast<std::size_t>(rack)];
+        indexes.insert(indexes.end(), members.begin(), members.end());
+    }
+    return drain_list(servers, indexes, job, accelerators, pinned, now);
+}
+
+} // namespace poplarramp
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -1,14 +1,9 @@
 #include "policy/scheduler.hpp"
 
-#include "policy/cluster.hpp"
-#include "policy/placement.hpp"
-#include "policy/queue.hpp"
+#include "policy/decision_round.hpp"
+#include "policy/zone_state.hpp"
 
 #include <algorithm>
-#include <limits>
-#include <map>
-#include <numeric>
-#include <unordered_map>
 #include <utility>
 
 namespace poplarramp
@@ -17,151 +12,93 @@
 namespace
 {
 
-// A job that is queued or placed.
-struct job_entry
-{
-    job item;
-    std::string id;
-    std::int64_t number = 0;
-    bool placed = false;
-    bool running = false;
-    // It was placed once, so "not run" can no longer be promised.
-    bool was_placed = false;
-    std::string waits_for;
-};
-
-} // namespace
+using detail::job_entry;
+using detail::job_phase;
+using detail::wait_reason;
 
-struct scheduler::state
+std::string kind_of(const job_entry& entry)
 {
-    explicit state(std::string name) : zone(std::move(name))
-    {
-    }
-
-    std::string zone;
-    sheet plan;
-    bool open = true;
-    cluster servers;
-    job_queue queue;
-    std::unordered_map<std::string, std::int64_t> numbers;
-    std::map<std::int64_t, job_entry> jobs;
-    std::int64_t next_number = 1;
-    // Changes whenever a job that could not be placed might fit now.
-    std::uint64_t version = 1;
-
-    job_entry* find(std::string_view id);
-    job_entry& add(const job& item);
-    void forget(const job_entry& entry);
-    void enqueue(const job_entry& entry);
-    span_limits limits() const;
-    int planned_accelerators() const;
-    std::optional<failure> refusal(const job& item, time_point now) const;
-    lane* next_lane(lane_key& key);
-    std::optional<part_list> place(const job_entry& entry) const;
-    decision start(job_entry& entry, part_list parts, time_point now);
-    void give_back(job_entry& entry);
-};
-
-job_entry* scheduler::state::find(std::string_view id)
-{
-    const auto found = numbers.find(std::string(id));
-    return found == numbers.end() ? nullptr : &jobs.at(found->second);
+    return entry.customer() + "/" + entry.item.request.kind;
 }
 
-job_entry& scheduler::state::add(const job& item)
+std::string_view text_of(wait_reason reason)
 {
-    job_entry entry;
-    entry.item = item;
-    entry.id = job_id(item.request);
-    entry.number = next_number++;
-    entry.was_placed = !item.attempts.empty();
-    numbers.emplace(entry.id, entry.number);
-    return jobs.emplace(entry.number, std::move(entry)).first->second;
+    switch (reason)
+    {
+    case wait_reason::zone_closed:
+        return "waits: the availability zone is out of service";
+    case wait_reason::quota:
+        return "waits: the customer's quota is in use";
+    case wait_reason::capacity:
+        return "waits: no place is free or may be reclaimed";
+    case wait_reason::victims:
+        return "waits: preempted tasks are stopping";
+    case wait_reason::not_tried:
+        break;
+    }
+    return "waits: earlier jobs go first";
 }
 
-void scheduler::state::forget(const job_entry& entry)
-{
-    numbers.erase(entry.id);
-    jobs.erase(entry.number);
-}
+} // namespace
 
-void scheduler::state::enqueue(const job_entry& entry)
+struct scheduler::state : detail::zone_state
 {
-    queued_job item;
-    item.number = entry.number;
-    item.deadline = entry.item.request.deadline;
-    item.accepted = entry.item.accepted;
-    item.lane.order = entry.item.urgency_class == urgency::urgent
-                          ? queue_class::urgent
-                          : queue_class::patient;
-    item.lane.customer = entry.item.request.customer;
-    item.lane.accelerators = entry.item.request.accelerators;
-    item.lane.pinned = is_pinned(entry.item);
-    item.lane.idempotent = entry.item.idempotent;
-    item.lane.kind = entry.item.request.kind;
-    queue.add(item);
-}
+    using zone_state::zone_state;
+
+    std::optional<failure> refusal(const job& item, time_point now) const;
+    std::optional<failure> never_fits(const job& item) const;
+    void server_failed(int server, const job_entry& entry, time_point now);
+    void count_end(const job_entry& entry, bool succeeded, time_point now);
+    std::string place_text(const job_entry& entry) const;
+};
 
-// Sizes of the plan count too, so that a gang does not spread over servers
-// only because a larger server is not seen yet.
-span_limits scheduler::state::limits() const
+std::optional<failure> scheduler::state::never_fits(const job& item) const
 {
-    span_limits found{servers.largest_server(), servers.largest_rack()};
-    const auto* here = find_zone(plan, zone);
-    if (here == nullptr)
+    const int wanted = item.request.accelerators;
+    if (wanted < 0 || wanted > largest_shape)
     {
-        return found;
+        return failure{result_code::never_fits,
+                       "accelerators must be from 0 to 256"};
     }
-    std::map<std::string, int> racks;
-    for (const auto& rack : here->racks)
+    if (wanted > planned_accelerators)
     {
-        found.largest_server =
-            std::max(found.largest_server, rack.accelerators_per_server);
-        int& size = racks[rack.name];
-        size += rack.servers * rack.accelerators_per_server;
-        found.largest_rack = std::max(found.largest_rack, size);
+        return failure{result_code::never_fits,
+                       "availability zone " + zone + " has " +
+                           std::to_string(planned_accelerators) +
+                           " accelerators"};
     }
-    return found;
-}
-
-// Accelerators that the sheet plans for the availability zone; no limit if it
-// has no plan.
-int scheduler::state::planned_accelerators() const
-{
-    const auto* here = find_zone(plan, zone);
-    if (here == nullptr || here->racks.empty())
+    const auto owner = customers.find(item.request.customer);
+    const int quota =
+        owner == customers.end() ? 0 : owner->second.quota_accelerators;
+    if (quota > 0 && wanted > quota)
     {
-        return std::numeric_limits<int>::max();
+        return failure{result_code::never_fits,
+                       "the customer's quota is " + std::to_string(quota) +
+                           " accelerators"};
     }
-    return std::accumulate(
-        here->racks.begin(),
-        here->racks.end(),
-        0,
-        [](int sum, const rack_plan& rack)
-        { return sum + rack.servers * rack.accelerators_per_server; });
+    return std::nullopt;
 }
 
 std::optional<failure> scheduler::state::refusal(const job& item,
                                                  time_point now) const
 {
-    const int wanted = item.request.accelerators;
-    if (wanted < 0 || wanted > largest_shape)
-    {
-        return failure{result_code::never_fits,
-                       "accelerators must be from 0 to 256"};
-    }
-    if (wanted > planned_accelerators())
+    if (auto refused = never_fits(item))
     {
-        return failure{result_code::never_fits,
-                       "the availability zone has fewer accelerators"};
+        return refused;
     }
-    if (item.request.deadline <= now)
+    const auto shortest = runs.estimate(
+        item.request.customer, item.request.kind, short_run, item.expected_run);
+    const bool late = item.request.deadline != no_deadline &&
+                      item.request.deadline - shortest < now;
+    if (late && item.attempts.empty())
     {
-        return failure{result_code::shed, "the deadline has passed"};
+        return failure{result_code::shed,
+                       "the deadline cannot be met: the run takes " +
+                           std::to_string(shortest.count()) + " ms"};
     }
-    const auto* owner = find_customer(plan, item.request.customer);
-    const int limit =
-        owner == nullptr ? customer{}.queue_limit : owner->queue_limit;
+    const auto owner = customers.find(item.request.customer);
+    const int limit = owner == customers.end() ? customer{}.queue_limit
+                                               : owner->second.queue_limit;
     if (queue.waiting(item.request.customer) >= limit)
     {
         return failure{result_code::queue_full,
@@ -171,90 +108,71 @@
     return std::nullopt;
 }
 
-// The lane whose first job is next, among those that may succeed now.
-lane* scheduler::state::next_lane(lane_key& key)
+void scheduler::state::server_failed(int server,
+                                     const job_entry& entry,
+                                     time_point now)
 {
-    lane* best = nullptr;
-    for (auto& [candidate, waiting] : queue.lanes())
+    if (health.failed(server, entry.id, kind_of(entry), now))
     {
-        if (waiting.failed_at == version)
-        {
-            continue;
-        }
-        const bool earlier = best == nullptr || candidate.order < key.order ||
-                             (candidate.order == key.order &&
-                              *waiting.jobs.begin() < *best->jobs.begin());
-        if (earlier)
-        {
-            best = &waiting;
-            key = candidate;
-        }
+        servers.set_health(server, true, false);
+        servers_changed();
     }
-    return best;
 }
 
-std::optional<part_list> scheduler::state::place(const job_entry& entry) const
+// Learns from the end of a task. The server of a failed gang member is not
+// known here; control names it when it requeues the gang.
+void scheduler::state::count_end(const job_entry& entry,
+                                 bool succeeded,
+                                 time_point now)
 {
-    const int wanted = entry.item.request.accelerators;
-    if (wanted == 0)
+    const auto parts = servers.find_task(entry.number)->parts;
+    if (succeeded)
     {
-        const int server = servers.slot_server([](int) { return true; });
-        return server < 0 ? std::nullopt
-                          : std::optional<part_list>(part_list{{server, 0}});
+        if (entry.running)
+        {
+            runs.add(
+                entry.customer(), entry.item.request.kind, now - entry.started);
+        }
+        for (const auto& share : parts)
+        {
+            if (health.succeeded(share.server, kind_of(entry)))
+            {
+                servers.set_health(share.server, false, false);
+                servers_changed();
+            }
+        }
+        return;
     }
-    const auto room = [this](int index)
+    if (!entry.stop_asked && parts.size() == 1)
     {
-        const auto& server = servers.at(index);
-        const bool usable = server.placeable() && server.free().slots > 0;
-        return usable ? server.free().accelerators : 0;
-    };
-    return find_place(servers, wanted, limits(), room);
-}
-
-decision
-scheduler::state::start(job_entry& entry, part_list parts, time_point now)
-{
-    decision made;
-    made.job_id = entry.id;
-    made.parts = named_parts(servers, parts);
-    made.borrowed = true;
-    placed_task task;
-    task.number = entry.number;
-    task.customer = entry.item.request.customer;
-    task.parts = std::move(parts);
-    task.accelerators = entry.item.request.accelerators;
-    task.pinned = is_pinned(entry.item);
-    task.started = now;
-    servers.add_task(std::move(task));
-    queue.remove(entry.number);
-    entry.placed = true;
-    entry.was_placed = true;
-    return made;
+        server_failed(parts.front().server, entry, now);
+    }
 }
 
-void scheduler::state::give_back(job_entry& entry)
+std::string scheduler::state::place_text(const job_entry& entry) const
 {
-    if (entry.placed)
+    const auto* task = servers.find_task(entry.number);
+    std::string text = entry.running ? "runs" : "starts";
+    text += task->stopping ? ", is being preempted" : "";
+    text += task->in_guarantee ? ", in guarantee, on" : ", borrowed, on";
+    for (const auto& share : named_parts(servers, task->parts))
     {
-        servers.remove_task(entry.number);
+        text += " " + share.server + ":" + std::to_string(share.accelerators);
     }
-    queue.remove(entry.number);
-    entry.placed = false;
-    entry.running = false;
-    ++version;
+    return text;
 }
 
 scheduler::scheduler(std::string zone)
     : state_(std::make_unique<state>(std::move(zone)))
 {
+    state_->set_sheet({});
 }
 
 scheduler::~scheduler() = default;
 
 void scheduler::set_sheet(const sheet& plan)
 {
-    state_->plan = plan;
-    ++state_->version;
+    state_->set_sheet(plan);
 }
 
 void scheduler::set_open(bool open)
@@ -264,17 +182,24 @@
 
 void scheduler::add_server(const server_info& server)
 {
-    state_->servers.add_server(server);
-    ++state_->version;
+    auto& zone = *state_;
+    const int known = zone.servers.find(server.id);
+    if (known >= 0 && !zone.servers.at(known).known)
+    {
+        zone.health.forget(known);
+        zone.servers.set_health(known, false, false);
+    }
+    zone.servers.add_server(server);
+    zone.servers_changed();
 }
 
 void scheduler::set_placeable(std::string_view server, bool placeable)
 {
     const int index = state_->servers.find(server);
-    if (index >= 0)
+    if (index >= 0 && state_->servers.at(index).allowed != placeable)
     {
         state_->servers.set_allowed(index, placeable);
-        ++state_->version;
+        state_->servers_changed();
     }
 }
 
@@ -290,6 +215,7 @@
     {
         affected.push_back(state_->jobs.at(number).id);
     }
+    state_->servers_changed();
     return affected;
 }
 
@@ -312,93 +238,127 @@
                       time_point now)
 {
     auto* known = state_->find(job_id(item.request));
-    if (known != nullptr && known->placed)
+    if (known != nullptr && known->phase == job_phase::placed)
+    {
+        return;
+    }
+    auto indexed = indexed_parts(state_->servers, parts);
+    if (indexed.empty())
     {
         return;
     }
     auto& entry = known == nullptr ? state_->add(item) : *known;
-    state_->start(entry, indexed_parts(state_->servers, parts), now);
-    entry.running = true;
+    state_->adopt(entry, std::move(indexed), now);
 }
 
 bool scheduler::cancel(std::string_view job_id)
 {
     auto* entry = state_->find(job_id);
-    if (entry == nullptr || entry->placed)
+    if (entry == nullptr)
+    {
+        return false;
+    }
+    if (entry->phase == job_phase::placed)
     {
+        entry->stop_asked = true;
         return false;
     }
-    state_->queue.remove(entry->number);
     state_->forget(*entry);
     return true;
 }
 
-void scheduler::on_started(std::string_view job_id, time_point)
+void scheduler::on_started(std::string_view job_id, time_point now)
 {
     auto* entry = state_->find(job_id);
-    if (entry != nullptr && entry->placed)
+    if (entry == nullptr || entry->phase != job_phase::placed || entry->running)
     {
-        entry->running = true;
+        return;
     }
+    entry->running = true;
+    entry->started = now;
+    state_->servers.mark_started(
+        entry->number, now, now + state_->run_estimate(*entry, long_run));
 }
 
-void scheduler::on_ended(std::string_view job_id, bool, time_point)
+void scheduler::on_ended(std::string_view job_id,
+                         bool succeeded,
+                         time_point now)
 {
     auto* entry = state_->find(job_id);
-    if (entry != nullptr)
+    if (entry == nullptr)
     {
-        state_->give_back(*entry);
-        state_->forget(*entry);
+        return;
+    }
+    if (entry->phase == job_phase::placed)
+    {
+        state_->count_end(*entry, succeeded, now);
     }
+    state_->forget(*entry);
 }
 
-void scheduler::requeue(std::string_view job_id, std::string_view, time_point)
+void scheduler::requeue(std::string_view job_id,
+                        std::string_view server_at_fault,
+                        time_point now)
 {
     auto* entry = state_->find(job_id);
-    if (entry != nullptr && entry->placed)
+    if (entry == nullptr || entry->phase != job_phase::placed)
     {
-        state_->give_back(*entry);
-        state_->enqueue(*entry);
+        return;
     }
+    const int server = state_->servers.find(server_at_fault);
+    if (server >= 0)
+    {
+        state_->server_failed(server, *entry, now);
+    }
+    state_->release(*entry);
+    state_->enqueue(*entry);
 }
 
 std::vector<decision> scheduler::decide(time_point now)
 {
-    std::vector<decision> made;
-    lane_key key;
-    while (state_->open)
-    {
-        auto* next = state_->next_lane(key);
-        if (next == nullptr)
-        {
-            break;
-        }
-        const auto number = std::get<2>(*next->jobs.begin());
-        auto& entry = state_->jobs.at(number);
-        auto parts = state_->place(entry);
-        if (!parts)
-        {
-            next->failed_at = state_->version;
-            continue;
-        }
-        made.push_back(state_->start(entry, std::move(*parts), now));
-    }
-    return made;
+    detail::decision_round round(*state_, now);
+    return round.run();
 }
 
 time_point scheduler::next_wake() const
 {
-    return no_deadline;
+    const auto& zone = *state_;
+    auto next = std::min(
+        {zone.rises.next(), zone.patience.next(), zone.health.next_probe()});
+    if (zone.latest_starts.next() != no_deadline)
+    {
+        next = std::min(next, zone.latest_starts.next() + milliseconds{1});
+    }
+    if (zone.open && !zone.long_waiting.empty())
+    {
+        next = std::min(next, zone.next_reservation_check);
+    }
+    return next;
 }
 
 std::vector<customer_usage> scheduler::usage() const
 {
+    auto& zone = *state_;
+    zone.book.refresh(zone.servers, zone.limits());
     std::vector<customer_usage> result;
-    for (const auto& owner : state_->plan.customers)
+    for (const auto& owner : zone.plan.customers)
     {
         customer_usage row;
         row.customer = owner.name;
-        row.queued = state_->queue.waiting(owner.name);
+        row.queued = zone.queue.waiting(owner.name);
+        row.reclaimable = zone.book.reclaimable(owner.name);
+        if (const auto total = zone.guaranteed.find(owner.name);
+            total != zone.guaranteed.end())
+        {
+            row.guaranteed = total->second;
+        }
+        if (const auto mine = zone.accounts.find(owner.name);
+            mine != zone.accounts.end())
+        {
+            row.in_guarantee = mine->second.in_guarantee;
+            row.borrowed = mine->second.borrowed;
+            row.queued += mine->second.claimed_jobs;
+        }
         result.push_back(std::move(row));
     }
     return result;
@@ -406,7 +366,7 @@
 
 int scheduler::queued() const
 {
-    return state_->queue.size();
+    return state_->queue.size() + static_cast<int>(state_->claims.size());
 }
 
 int scheduler::running() const
@@ -427,29 +387,39 @@
 
 int scheduler::largest_open_shape() const
 {
-    job_entry probe;
+    const auto& servers = state_->servers;
+    const auto room = [&](int index)
+    {
+        return free_room(servers.at(index));
+    };
     int largest = 0;
     for (int shape = 1; shape <= largest_shape; shape *= 2)
     {
-        probe.item.request.accelerators = shape;
-        largest = state_->place(probe) ? shape : largest;
+        const bool fits =
+            find_place(servers, shape, state_->limits(), room).has_value();
+        largest = fits ? shape : largest;
     }
     return largest;
 }
 
 std::string scheduler::explain(std::string_view job_id) const
 {
-    const auto* entry = state_->find(job_id);
+    const auto* entry = std::as_const(*state_).find(job_id);
     if (entry == nullptr)
     {
         return {};
     }
-    return entry->placed ? "placed" : "waits for free accelerators";
+    if (entry->phase == job_phase::placed)
+    {
+        return state_->place_text(*entry);
+    }
+    return std::string(
+        text_of(state_->open ? entry->waits_for : wait_reason::zone_closed));
 }
 
 bool scheduler::guarantees_reclaimable() const
 {
-    return true;
+    return state_->book.refresh(state_->servers, state_->limits());
 }
 
 } // namespace poplarramp
--- /dev/null
+++ b/src/policy/zone_state.cpp
@@ -0,0 +1,687 @@
+#include "policy/zone_state.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace poplarramp::detail
+{
+
+namespace
+{
+
+// A patient job goes before other patient ones from this long before its
+// latest start, which leaves time for running tasks to end.
+constexpr milliseconds near_deadline{10 * 60 * 1000};
+
+// `base + change`, without overflow at `no_deadline`.
+time_point shifted(time_point base, milliseconds change)
+{
+    return base == no_deadline ? base : base + change;
+}
+
+std::map<guarantee_key, int> counts_for(const sheet& plan,
+                                        const std::string& zone)
+{
+    std::map<guarantee_key, int> counts;
+    for (const auto& item : plan.guarantees)
+    {
+        if (item.zone == zone && item.count > 0)
+        {
+            counts[{item.customer, item.shape}] += item.count;
+        }
+    }
+    return counts;
+}
+
+} // namespace
+
+job_entry* zone_state::find(std::string_view id)
+{
+    const auto found = numbers.find(std::string(id));
+    return found == numbers.end() ? nullptr : &jobs.at(found->second);
+}
+
+const job_entry* zone_state::find(std::string_view id) const
+{
+    const auto found = numbers.find(std::string(id));
+    return found == numbers.end() ? nullptr : &jobs.at(found->second);
+}
+
+job_entry& zone_state::add(const job& item)
+{
+    job_entry entry;
+    entry.item = item;
+    entry.id = job_id(item.request);
+    entry.number = next_number++;
+    entry.was_placed = !item.attempts.empty();
+    numbers.emplace(entry.id, entry.number);
+    return jobs.emplace(entry.number, std::move(entry)).first->second;
+}
+
+void zone_state::forget(job_entry& entry)
+{
+    if (entry.phase == job_phase::placed)
+    {
+        release(entry);
+    }
+    if (entry.phase == job_phase::claimed)
+    {
+        drop_claim(entry);
+    }
+    dequeue(entry);
+    numbers.erase(entry.id);
+    jobs.erase(entry.number);
+}
+
+void zone_state::set_sheet(const sheet& next)
+{
+    plan = next;
+    read_customers();
+    read_zone();
+    if (counts_for(plan, zone) != book.counts())
+    {
+        rebuild();
+    }
+    book.invalidate();
+    ++version;
+}
+
+void zone_state::read_customers()
+{
+    customers.clear();
+    guaranteed.clear();
+    for (const auto& item : plan.customers)
+    {
+        customers.emplace(item.name, item);
+    }
+    for (const auto& [owner, count] : counts_for(plan, zone))
+    {
+        guaranteed[owner.first] += owner.second * count;
+    }
+}
+
+// A zone without a plan has no known limit.
+void zone_state::read_zone()
+{
+    planned_limits = {};
+    planned_accelerators = std::numeric_limits<int>::max();
+    const auto* here = find_zone(plan, zone);
+    if (here == nullptr || here->racks.empty())
+    {
+        return;
+    }
+    planned_accelerators = 0;
+    std::map<std::string, int> racks;
+    for (const auto& rack : here->racks)
+    {
+        const int size = rack.servers * rack.accelerators_per_server;
+        racks[rack.name] += size;
+        planned_accelerators += size;
+        planned_limits.largest_rack =
+            std::max(planned_limits.largest_rack, racks[rack.name]);
+        if (rack.servers > 0)
+        {
+            planned_limits.largest_server = std::max(
+                planned_limits.largest_server, rack.accelerators_per_server);
+        }
+    }
+}
+
+// Sizes of the plan count too, so that a gang does not spread over servers
+// only because a larger server has not been claimed yet.
+span_limits zone_state::limits() const
+{
+    return {std::max(planned_limits.largest_server, servers.largest_server()),
+            std::max(planned_limits.largest_rack, servers.largest_rack())};
+}
+
+bool zone_state::over_quota(const job_entry& entry) const
+{
+    const auto owner = customers.find(entry.customer());
+    const int quota =
+        owner == customers.end() ? 0 : owner->second.quota_accelerators;
+    if (quota == 0 || entry.accelerators() == 0)
+    {
+        return false;
+    }
+    const auto used = accounts.find(entry.customer());
+    if (used == accounts.end())
+    {
+        return entry.accelerators() > quota;
+    }
+    return used->second.in_guarantee + used->second.borrowed +
+               entry.accelerators() >
+           quota;
+}
+
+customer_share zone_state::share_of(const std::string& customer) const
+{
+    customer_share share;
+    const auto total = guaranteed.find(customer);
+    if (total != guaranteed.end())
+    {
+        share.guaranteed = std::max(1, total->second);
+    }
+    const auto used = accounts.find(customer);
+    if (used != accounts.end())
+    {
+        const auto& mine = used->second;
+        share.used = std::int64_t{mine.in_guarantee + mine.borrowed} *
+                         slots_per_accelerator +
+                     mine.without_accelerators;
+    }
+    return share;
+}
+
+milliseconds zone_state::run_estimate(const job_entry& entry,
+                                      double quantile) const
+{
+    return runs.estimate(entry.customer(),
+                         entry.item.request.kind,
+                         quantile,
+                         entry.item.expected_run);
+}
+
+job_need zone_state::need_of(const job_entry& entry, time_point now) const
+{
+    job_need need;
+    need.number = entry.number;
+    need.customer = entry.customer();
+    need.accelerators = entry.accelerators();
+    need.pinned = is_pinned(entry.item);
+    need.urgent = entry.item.urgency_class == urgency::urgent;
+    need.idempotent = entry.item.idempotent;
+    need.expected_end = now + run_estimate(entry, long_run);
+    return need;
+}
+
+void zone_state::enqueue(job_entry& entry)
+{
+    queued_job next;
+    next.number = entry.number;
+    next.deadline = entry.item.request.deadline;
+    next.accepted = entry.item.accepted;
+    next.lane.order = entry.item.urgency_class == urgency::urgent
+                          ? queue_class::urgent
+                          : queue_class::patient;
+    next.lane.customer = entry.customer();
+    next.lane.accelerators = entry.accelerators();
+    next.lane.pinned = is_pinned(entry.item);
+    next.lane.idempotent = entry.item.idempotent;
+    next.lane.kind = entry.item.request.kind;
+    queue.add(next);
+    entry.phase = job_phase::queued;
+    entry.waits_for = wait_reason::not_tried;
+    schedule(entry);
+}
+
+void zone_state::schedule(job_entry& entry)
+{
+    const auto deadline = entry.item.request.deadline;
+    if (!entry.was_placed)
+    {
+        latest_starts.set(entry.number,
+                          shifted(deadline, -run_estimate(entry, short_run)));
+    }
+    if (entry.item.urgency_class == urgency::patient)
+    {
+        rises.set(
+            entry.number,
+            shifted(deadline, -run_estimate(entry, long_run) - near_deadline));
+    }
+    if (entry.accelerators() >= least_reserved_accelerators)
+    {
+        patience.set(entry.number, entry.item.accepted + reservation_wait);
+    }
+}
+
+void zone_state::dequeue(const job_entry& entry)
+{
+    queue.remove(entry.number);
+    latest_starts.remove(entry.number);
+    rises.remove(entry.number);
+    patience.remove(entry.number);
+    long_waiting.erase(entry.number);
+}
+
+void zone_state::account(const job_entry& entry, bool in_guarantee, int sign)
+{
+    auto& mine = accounts[entry.customer()];
+    const int change = sign * entry.accelerators();
+    (in_guarantee ? mine.in_guarantee : mine.borrowed) += change;
+    mine.without_accelerators += entry.accelerators() == 0 ? sign : 0;
+}
+
+// Binds the block or, for a pinned borrowed job, the capacity. True if the job
+// runs in guarantee.
+bool zone_state::bind(job_entry& entry, const job_plan& next)
+{
+    const bool was_feasible = book.refresh(servers, limits());
+    if (next.in_guarantee)
+    {
+        const int target = next.block != 0
+                               ? next.block
+                               : book.open(servers, next.owner, next.extent);
+        book.enter(servers, target, entry.number, next.parts);
+    }
+    else if (is_pinned(entry.item))
+    {
+        for (const auto& change : firm_of_pinned(next.parts))
+        {
+            servers.change_firm(
+                change.server, change.bound.accelerators, change.bound.slots);
+        }
+    }
+    if (was_feasible)
+    {
+        book.accept();
+    }
+    else
+    {
+        book.invalidate();
+    }
+    account(entry, next.in_guarantee, 1);
+    return next.in_guarantee;
+}
+
+void zone_state::unbind(job_entry& entry, const part_list& parts)
+{
+    const bool in_guarantee = book.block_of(entry.number) != 0;
+    if (in_guarantee)
+    {
+        book.leave(servers, entry.number);
+        to_promote.insert(entry.customer());
+    }
+    else if (is_pinned(entry.item))
+    {
+        for (const auto& change : firm_of_pinned(parts))
+        {
+            servers.change_firm(
+                change.server, -change.bound.accelerators, -change.bound.slots);
+        }
+    }
+    if (!book.refresh(servers, limits()))
+    {
+        book.invalidate();
+    }
+    account(entry, in_guarantee, -1);
+    accounts[entry.customer()].borrowed_tasks.erase(entry.number);
+    ++version;
+}
+
+void zone_state::claim(job_entry& entry, job_plan next)
+{
+    bind(entry, next);
+    servers.claim(next.parts, 1);
+    dequeue(entry);
+    for (const auto victim : next.victims)
+    {
+        servers.mark_stopping(victim);
+        jobs.at(victim).stop_asked = true;
+    }
+    entry.plan = std::move(next);
+    entry.phase = job_phase::claimed;
+    entry.waits_for = wait_reason::victims;
+    claims.insert(entry.number);
+    ++accounts[entry.customer()].claimed_jobs;
+}
+
+void zone_state::drop_claim(job_entry& entry)
+{
+    servers.claim(entry.plan.parts, -1);
+    unbind(entry, entry.plan.parts);
+    claims.erase(entry.number);
+    --accounts[entry.customer()].claimed_jobs;
+    enqueue(entry);
+}
+
+placed_task zone_state::task_of(const job_entry& entry,
+                                part_list parts,
+                                time_point now) const
+{
+    placed_task task;
+    task.number = entry.number;
+    task.customer = entry.customer();
+    task.parts = std::move(parts);
+    task.accelerators = entry.accelerators();
+    task.pinned = is_pinned(entry.item);
+    task.urgent = entry.item.urgency_class == urgency::urgent;
+    task.idempotent = entry.item.idempotent;
+    task.can_checkpoint = entry.item.can_checkpoint;
+    task.checkpoint_time = entry.item.checkpoint_time;
+    task.in_guarantee = book.block_of(entry.number) != 0;
+    task.started = now;
+    task.expected_end = now + run_estimate(entry, long_run);
+    return task;
+}
+
+decision
+zone_state::place(job_entry& entry, const job_plan& next, time_point now)
+{
+    bind(entry, next);
+    dequeue(entry);
+    decision made;
+    made.job_id = entry.id;
+    made.parts = named_parts(servers, next.parts);
+    made.borrowed = !next.in_guarantee;
+    servers.add_task(task_of(entry, next.parts, now));
+    if (!next.in_guarantee)
+    {
+        accounts[entry.customer()].borrowed_tasks.insert(entry.number);
+    }
+    if (next.probe)
+    {
+        const int server = next.parts.front().server;
+        health.probe_started(server);
+        servers.set_health(server, true, false);
+    }
+    entry.probe = next.probe;
+    entry.phase = job_phase::placed;
+    entry.was_placed = true;
+    entry.stop_asked = false;
+    entry.running = false;
+    entry.started = now;
+    return made;
+}
+
+decision zone_state::place_claimed(job_entry& entry, time_point now)
+{
+    servers.claim(entry.plan.parts, -1);
+    claims.erase(entry.number);
+    auto& mine = accounts[entry.customer()];
+    --mine.claimed_jobs;
+    decision made;
+    made.job_id = entry.id;
+    made.parts = named_parts(servers, entry.plan.parts);
+    made.borrowed = book.block_of(entry.number) == 0;
+    servers.add_task(task_of(entry, entry.plan.parts, now));
+    if (made.borrowed)
+    {
+        mine.borrowed_tasks.insert(entry.number);
+    }
+    entry.probe = false;
+    entry.phase = job_phase::placed;
+    entry.was_placed = true;
+    entry.stop_asked = false;
+    entry.running = false;
+    entry.started = now;
+    return made;
+}
+
+void zone_state::adopt(job_entry& entry, part_list parts, time_point now)
+{
+    if (entry.phase == job_phase::claimed)
+    {
+        drop_claim(entry);
+    }
+    job_plan found;
+    found.parts = std::move(parts);
+    book.discard();
+    place(entry, found, now);
+    entry.running = true;
+    book.invalidate();
+    to_promote.insert(entry.customer());
+    servers_changed();
+}
+
+void zone_state::release(job_entry& entry)
+{
+    const auto parts = servers.find_task(entry.number)->parts;
+    servers.remove_task(entry.number);
+    unbind(entry, parts);
+    if (entry.probe)
+    {
+        health.probe_ended(parts.front().server);
+    }
+    entry.probe = false;
+    entry.running = false;
+    entry.phase = job_phase::queued;
+}
+
+// Where the blocks did not fit, servers that are back may make them fit in
+// another arrangement.
+void zone_state::servers_changed()
+{
+    book.invalidate();
+    rebuild_blocks = rebuild_blocks || !book.refresh(servers, limits());
+    ++version;
+}
+
+void zone_state::demote_all()
+{
+    for (const auto& [number, task] : servers.tasks())
+    {
+        if (!task.in_guarantee)
+        {
+            continue;
+        }
+        auto& entry = jobs.at(number);
+        book.leave(servers, number);
+        account(entry, true, -1);
+        account(entry, false, 1);
+        accounts[entry.customer()].borrowed_tasks.insert(number);
+        servers.set_in_guarantee(number, false);
+        const auto changes = task.pinned ? firm_of_pinned(task.parts)
+                                         : std::vector<firm_change>{};
+        for (const auto& change : changes)
+        {
+            servers.change_firm(
+                change.server, change.bound.accelerators, change.bound.slots);
+        }
+    }
+}
+
+void zone_state::rebuild()
+{
+    const auto waiting = claims;
+    for (const auto number : waiting)
+    {
+        drop_claim(jobs.at(number));
+    }
+    demote_all();
+    book.set_counts(counts_for(plan, zone));
+    for (const auto& [customer, mine] : accounts)
+    {
+        promote(customer);
+    }
+    to_promote.clear();
+    rebuild_blocks = false;
+    ++version;
+}
+
+// Pinned tasks first, which hold their capacity in any case, then the largest.
+void zone_state::promote(const std::string& customer)
+{
+    if (!book.has_blocks(customer))
+    {
+        return;
+    }
+    std::vector<const placed_task*> order;
+    for (const auto number : accounts[customer].borrowed_tasks)
+    {
+        const auto* task = servers.find_task(number);
+        if (task->accelerators > 0 && !task->stopping)
+        {
+            order.push_back(task);
+        }
+    }
+    std::sort(order.begin(),
+              order.end(),
+              [](const placed_task* a, const placed_task* b)
+              {
+                  return std::tuple(!a->pinned, -a->accelerators, a->number) <
+                         std::tuple(!b->pinned, -b->accelerators, b->number);
+              });
+    for (const auto* task : order)
+    {
+        promote_task(task->number);
+    }
+}
+
+bool zone_state::promote_task(std::int64_t number)
+{
+    const auto& task = *servers.find_task(number);
+    for (const auto& [block_number, item] : book.blocks())
+    {
+        if (item.owner.first == task.customer &&
+            promote_into(task, block_number))
+        {
+            return true;
+        }
+    }
+    for (const auto& [owner, count] : book.counts())
+    {
+        if (owner.first != task.customer || owner.second < task.accelerators ||
+            book.floating(owner) <= 0)
+        {
+            continue;
+        }
+        const auto extent = extent_for(task, owner.second);
+        if (extent && promote_at(task, owner, *extent))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool zone_state::change_allowed(const placed_task& task,
+                                std::vector<firm_change> changes,
+                                int opened_shape)
+{
+    if (task.pinned)
+    {
+        for (const auto& held : firm_of_pinned(task.parts))
+        {
+            const auto same =
+                std::find_if(changes.begin(),
+                             changes.end(),
+                             [&](const firm_change& change)
+                             { return change.server == held.server; });
+            if (same == changes.end())
+            {
+                changes.push_back(
+                    {held.server,
+                     {-held.bound.accelerators, -held.bound.slots}});
+                continue;
+            }
+            same->bound.accelerators -= held.bound.accelerators;
+            same->bound.slots -= held.bound.slots;
+        }
+    }
+    if (book.refresh(servers, limits()))
+    {
+        return book.keeps(servers, limits(), changes, opened_shape);
+    }
+    book.discard();
+    return changes_fit(servers, changes);
+}
+
+bool zone_state::promote_into(const placed_task& task, int block_number)
+{
+    const auto& target = book.blocks().at(block_number);
+    for (const auto& taken : task.parts)
+    {
+        const bool inside = std::any_of(
+            target.shares.begin(),
+            target.shares.end(),
+            [&](const block_share& share)
+            {
+                return share.server == taken.server &&
+                       share.size - share.used >= taken.accelerators;
+            });
+        if (!inside)
+        {
+            return false;
+        }
+    }
+    if (!change_allowed(task, firm_of_entry(target, task.parts), 0))
+    {
+        return false;
+    }
+    enter_promoted(task, block_number);
+    return true;
+}
+
+// A block of the shape around the parts of the task.
+std::optional<part_list> zone_state::extent_for(const placed_task& task,
+                                                int shape)
+{
+    if (shape <= limits().largest_server)
+    {
+        if (task.parts.size() != 1)
+        {
+            return std::nullopt;
+        }
+        return part_list{{task.parts.front().server, shape}};
+    }
+    std::set<int> racks;
+    for (const auto& taken : task.parts)
+    {
+        racks.insert(servers.at(taken.server).rack);
+    }
+    const bool one_rack = shape <= limits().largest_rack;
+    if (one_rack && racks.size() != 1)
+    {
+        return std::nullopt;
+    }
+    std::vector<int> indexes;
+    for (const int rack : racks)
+    {
+        const auto& members = servers.racks()[static_cast<std::size_t>(rack)];
+        indexes.insert(indexes.end(), members.begin(), members.end());
+    }
+    const int missing = shape - task.accelerators;
+    auto extent = widen(servers, indexes, task.parts, task.pinned, missing);
+    if (!extent && !one_rack)
+    {
+        extent = widen(servers,
+                       servers.accelerator_servers(),
+                       task.parts,
+                       task.pinned,
+                       missing);
+    }
+    return extent;
+}
+
+bool zone_state::promote_at(const placed_task& task,
+                            const guarantee_key& owner,
+                            const part_list& extent)
+{
+    const auto changes = firm_of_extent(extent, task.parts);
+    if (!change_allowed(task, changes, owner.second))
+    {
+        return false;
+    }
+    enter_promoted(task, book.open(servers, owner, extent));
+    return true;
+}
+
+void zone_state::enter_promoted(const placed_task& task, int block_number)
+{
+    if (task.pinned)
+    {
+        for (const auto& held : firm_of_pinned(task.parts))
+        {
+            servers.change_firm(
+                held.server, -held.bound.accelerators, -held.bound.slots);
+        }
+    }
+    book.enter(servers, block_number, task.number, task.parts);
+    if (book.refresh(servers, limits()))
+    {
+        book.accept();
+    }
+    else
+    {
+        book.invalidate();
+    }
+    auto& entry = jobs.at(task.number);
+    account(entry, false, -1);
+    account(entry, true, 1);
+    accounts[entry.customer()].borrowed_tasks.erase(task.number);
+    servers.set_in_guarantee(task.number, true);
+}
+
+} // namespace poplarramp::detail
--- /dev/null
+++ b/tests/policy_helpers.hpp
@@ -0,0 +1,69 @@
+// Small worlds for the tests of the policy.
+#ifndef POPLARRAMP_TESTS_POLICY_HELPERS_HPP
+#define POPLARRAMP_TESTS_POLICY_HELPERS_HPP
+
+#include "policy/scheduler.hpp"
+
+#include <random>
+#include <string>
+
+namespace poplarramp::testing
+{
+
+const time_point start{milliseconds(1'000'000)};
+
+// Portable over standard libraries, unlike std::uniform_int_distribution.
+class dice
+{
+public:
+    explicit dice(unsigned seed) : engine_(seed)
+    {
+    }
+    // From 0 to `sides` - 1.
+    int roll(int sides)
+    {
+        return static_cast<int>(engine_() % static_cast<unsigned>(sides));
+    }
+    bool chance(int percent)
+    {
+        return roll(100) < percent;
+    }
+
+private:
+    std::mt19937 engine_;
+};
+
+inline job make_job(const std::string& customer,
+                    const std::string& key,
+                    int accelerators,
+                    time_point accepted = start)
+{
+    job item;
+    item.request.customer = customer;
+    item.request.key = key;
+    item.request.kind = "shape";
+    item.request.accelerators = accelerators;
+    item.accepted = accepted;
+    return item;
+}
+
+inline server_info make_server(int index, int per_rack, int accelerators)
+{
+    return {"s" + std::to_string(index),
+            "r" + std::to_string(index / per_rack),
+            accelerators,
+            8};
+}
+
+inline void
+add_servers(scheduler& zone, int racks, int per_rack, int accelerators)
+{
+    for (int i = 0; i < racks * per_rack; ++i)
+    {
+        zone.add_server(make_server(i, per_rack, accelerators));
+    }
+}
+
+} // namespace poplarramp::testing
+
+#endif
--- /dev/null
+++ b/tests/policy_property_test.cpp
@@ -0,0 +1,403 @@
+#include "policy/scheduler.hpp"
+
+#include "policy_helpers.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+using namespace poplarramp::testing;
+
+namespace
+{
+
+constexpr int sequences = 150;
+constexpr int steps = 400;
+constexpr int per_rack = 2;
+
+struct known_job
+{
+    job item;
+    std::vector<placement_part> parts;
+    bool borrowed = false;
+    bool stopping = false;
+};
+
+// What follows from the decisions alone, to check them against.
+class shadow
+{
+public:
+    // `exact`: customers ask for their shape or for more, so that the number
+    // of floating blocks follows from the usage.
+    shadow(unsigned seed, bool exact)
+        : zone_("z"), random_(seed), exact_(exact),
+          accelerated_(4 + 2 * random_.roll(3))
+    {
+        do
+        {
+            make_sheet();
+            zone_.set_sheet(plan_);
+            add_all_servers();
+        } while (!zone_.guarantees_reclaimable());
+    }
+
+    void step()
+    {
+        now_ += milliseconds(random_.roll(2000));
+        switch (random_.roll(6))
+        {
+        case 0:
+        case 1:
+        case 2:
+            submit_one();
+            break;
+        case 3:
+            end_one();
+            break;
+        case 4:
+            cancel_one();
+            break;
+        default:
+            stop_victims();
+        }
+        decide();
+    }
+
+    // Every customer reclaims all its floating blocks at once.
+    void drill()
+    {
+        for (const auto& id : std::exchange(queued_, {}))
+        {
+            CHECK(zone_.cancel(id));
+        }
+        stop_victims();
+        decide();
+        std::vector<std::string> expected;
+        for (const auto& row : zone_.usage())
+        {
+            const int shape = shape_[row.customer];
+            CHECK_EQUAL(row.guaranteed, row.in_guarantee + row.reclaimable);
+            const int blocks = shape == 0 ? 0 : row.reclaimable / shape;
+            for (int i = 0; i < blocks; ++i)
+            {
+                auto item = make_job(row.customer, next_key(), shape, now_);
+                item.can_stop = random_.chance(50);
+                expected.push_back(submit(item));
+            }
+        }
+        decide();
+        stop_victims();
+        decide();
+        for (const auto& id : expected)
+        {
+            CHECK(placed_.count(id) == 1);
+            CHECK_FALSE(placed_.at(id).borrowed);
+        }
+    }
+
+    int preemptions() const
+    {
+        return preemptions_;
+    }
+
+private:
+    void make_sheet()
+    {
+        plan_ = {};
+        availability_zone here{"z", "r", {}};
+        for (int rack = 0; rack < accelerated_ / per_rack; ++rack)
+        {
+            here.racks.push_back({"r" + std::to_string(rack), per_rack, 8});
+        }
+        plan_.zones.push_back(here);
+        for (const auto* name : {"a", "b", "c", "d"})
+        {
+            plan_.customers.push_back({name, name[0] == 'd' ? 12 : 0, 1000});
+        }
+        for (const auto* name : {"a", "b", "c"})
+        {
+            const int shape = 1 << random_.roll(6);
+            shape_[name] = shape;
+            const int count = 1 + random_.roll(std::max(1, 16 / shape));
+            plan_.guarantees.push_back({name, "z", shape, count});
+        }
+    }
+
+    void add_all_servers()
+    {
+        for (int i = 0; i < accelerated_ + 2; ++i)
+        {
+            const auto server =
+                make_server(i, per_rack, i < accelerated_ ? 8 : 0);
+            capacity_[server.id] = {server.accelerators, server.slots};
+            zone_.add_server(server);
+        }
+    }
+
+    std::string next_key()
+    {
+        return std::to_string(++last_key_);
+    }
+
+    std::string submit(const job& item)
+    {
+        auto id = job_id(item.request);
+        CHECK(!zone_.submit(item, now_));
+        known_[id].item = item;
+        queued_.insert(id);
+        return id;
+    }
+
+    int random_count(const std::string& customer)
+    {
+        static const std::array<int, 9> counts{0, 1, 2, 3, 4, 8, 12, 16, 20};
+        const int wanted = counts[static_cast<std::size_t>(
+            random_.roll(static_cast<int>(counts.size())))];
+        if (customer == "d")
+        {
+            return std::min(wanted, 12);
+        }
+        const int shape = shape_[customer];
+        return exact_ && wanted > 0 && wanted < shape ? shape : wanted;
+    }
+
+    void submit_one()
+    {
+        const std::string customer(1, "abcd"[random_.roll(4)]);
+        auto item =
+            make_job(customer, next_key(), random_count(customer), now_);
+        item.urgency_class =
+            random_.chance(30) ? urgency::urgent : urgency::patient;
+        item.can_stop = random_.chance(70);
+        item.can_checkpoint = random_.chance(30);
+        item.idempotent = random_.chance(80);
+        item.expected_run = milliseconds(1000 + random_.roll(60'000));
+        submit(item);
+    }
+
+    template <class Map>
+    std::string any_key(const Map& map)
+    {
+        auto it = map.begin();
+        std::advance(it, random_.roll(static_cast<int>(map.size())));
+        return it->first;
+    }
+
+    void end_one()
+    {
+        if (!placed_.empty())
+        {
+            const auto id = any_key(placed_);
+            zone_.on_ended(id, true, now_);
+            placed_.erase(id);
+        }
+    }
+
+    void cancel_one()
+    {
+        if (!queued_.empty())
+        {
+            auto it = queued_.begin();
+            std::advance(it, random_.roll(static_cast<int>(queued_.size())));
+            CHECK(zone_.cancel(*it));
+            queued_.erase(it);
+        }
+    }
+
+    void stop_victims()
+    {
+        for (auto it = placed_.begin(); it != placed_.end();)
+        {
+            if (!it->second.stopping)
+            {
+                ++it;
+                continue;
+            }
+            zone_.requeue(it->first, "", now_);
+            queued_.insert(it->first);
+            it = placed_.erase(it);
+        }
+    }
+
+    void decide()
+    {
+        for (const auto& made : zone_.decide(now_))
+        {
+            CHECK(made.kind != decision_kind::refuse);
+            if (made.kind == decision_kind::place)
+            {
+                check_placement(made);
+            }
+            else
+            {
+                check_preemption(made);
+            }
+        }
+        check_capacity();
+        CHECK(zone_.guarantees_reclaimable());
+        CHECK_EQUAL(static_cast<int>(queued_.size()), zone_.queued());
+        CHECK_EQUAL(static_cast<int>(placed_.size()), zone_.running());
+    }
+
+    void check_placement(const decision& made)
+    {
+        CHECK_EQUAL(1U, queued_.erase(made.job_id));
+        auto& target = known_.at(made.job_id);
+        target.parts = made.parts;
+        target.borrowed = made.borrowed;
+        target.stopping = false;
+        const int wanted = target.item.request.accelerators;
+        int sum = 0;
+        std::set<std::string> servers;
+        std::set<std::string> racks;
+        for (const auto& share : made.parts)
+        {
+            sum += share.accelerators;
+            CHECK(servers.insert(share.server).second);
+            racks.insert(
+                share.server.substr(0, 1) +
+                std::to_string(std::stoi(share.server.substr(1)) / per_rack));
+        }
+        CHECK_EQUAL(wanted, sum);
+        CHECK(wanted > 8 || made.parts.size() == 1);
+        CHECK(wanted > 8 * per_rack || racks.size() == 1);
+        placed_[made.job_id] = target;
+        zone_.on_started(made.job_id, now_);
+    }
+
+    void check_preemption(const decision& made)
+    {
+        ++preemptions_;
+        auto& victim = placed_.at(made.job_id);
+        CHECK_FALSE(victim.stopping);
+        CHECK(victim.borrowed);
+        CHECK_FALSE(is_pinned(victim.item));
+        CHECK(queued_.count(made.for_job) == 1);
+        const auto& winner = known_.at(made.for_job).item;
+        const bool reclaim = !made.for_guarantee_of.empty();
+        CHECK(reclaim || winner.urgency_class == urgency::urgent);
+        CHECK(reclaim || victim.item.urgency_class == urgency::patient);
+        victim.stopping = true;
+    }
+
+    void check_capacity()
+    {
+        std::map<std::string, std::pair<int, int>> used;
+        std::map<std::string, int> by_customer;
+        for (const auto& [id, item] : placed_)
+        {
+            for (const auto& share : item.parts)
+            {
+                used[share.server].first += share.accelerators;
+                used[share.server].second += 1;
+            }
+            by_customer[item.item.request.customer] +=
+                item.item.request.accelerators;
+        }
+        for (const auto& [server, taken] : used)
+        {
+            CHECK(taken.first <= capacity_.at(server).first);
+            CHECK(taken.second <= capacity_.at(server).second);
+        }
+        CHECK(by_customer["d"] <= 12);
+    }
+
+    scheduler zone_;
+    dice random_;
+    bool exact_;
+    int accelerated_;
+    sheet plan_;
+    time_point now_ = start;
+    int last_key_ = 0;
+    int preemptions_ = 0;
+    std::map<std::string, int> shape_;
+    std::map<std::string, std::pair<int, int>> capacity_;
+    std::map<std::string, known_job> known_;
+    std::map<std::string, known_job> placed_;
+    std::set<std::string> queued_;
+};
+
+} // namespace
+
+TEST_GROUP(scheduler_properties){};
+
+// Guards against a sequence of events after which a guarantee cannot be
+// reclaimed, a gang is partial, capacity is given twice, a job is lost, or a
+// task in guarantee is preempted.
+TEST(scheduler_properties, hold_after_every_step)
+{
+    int preemptions = 0;
+    for (unsigned seed = 0; seed < sequences; ++seed)
+    {
+        shadow world(seed, false);
+        for (int i = 0; i < steps; ++i)
+        {
+            world.step();
+        }
+        preemptions += world.preemptions();
+    }
+    CHECK(preemptions > sequences);
+}
+
+// Guards against an invariant that is true only in the scheduler's own books.
+TEST(scheduler_properties, all_guarantees_are_reclaimed_in_one_go)
+{
+    for (unsigned seed = 0; seed < sequences; ++seed)
+    {
+        shadow world(seed, true);
+        for (int i = 0; i < steps / 2; ++i)
+        {
+            world.step();
+        }
+        world.drill();
+    }
+}
+
+// Guards against a large job that small ones pass for ever.
+TEST(scheduler_properties, large_job_starts_under_a_stream_of_small_ones)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 2, 8);
+    auto now = start;
+    std::map<std::string, time_point> ends;
+    int key = 0;
+    const auto run = [&](milliseconds until)
+    {
+        bool large = false;
+        for (const auto end = now + until; now < end; now += milliseconds(500))
+        {
+            auto small = make_job("a", std::to_string(++key), 1, now);
+            small.expected_run = milliseconds(12'000);
+            zone.submit(small, now);
+            for (auto it = ends.begin(); it != ends.end();)
+            {
+                const bool over = it->second <= now;
+                if (over)
+                {
+                    zone.on_ended(it->first, true, now);
+                }
+                it = over ? ends.erase(it) : std::next(it);
+            }
+            for (const auto& made : zone.decide(now))
+            {
+                zone.on_started(made.job_id, now);
+                ends[made.job_id] = now + milliseconds(12'000);
+                large = large || made.job_id == "b/large";
+            }
+        }
+        return large;
+    };
+    CHECK_FALSE(run(milliseconds(30'000)));
+    auto large = make_job("b", "large", 16, now);
+    large.expected_run = milliseconds(10'000);
+    zone.submit(large, now);
+    CHECK_FALSE(run(milliseconds(50'000)));
+    CHECK(run(milliseconds(60'000)));
+}
--- a/tests/policy_scheduler_test.cpp
+++ b/tests/policy_scheduler_test.cpp
@@ -1,39 +1,13 @@
 #include "policy/scheduler.hpp"
 
+#include "policy_helpers.hpp"
+
 #include <string>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace poplarramp;
-
-namespace
-{
-
-const time_point start{milliseconds(1'000'000)};
-
-job make_job(const std::string& customer, const std::string& key, int count)
-{
-    job item;
-    item.request.customer = customer;
-    item.request.key = key;
-    item.request.kind = "shape";
-    item.request.accelerators = count;
-    item.accepted = start;
-    return item;
-}
-
-void add_servers(scheduler& zone, int racks, int servers, int accelerators)
-{
-    for (int i = 0; i < racks * servers; ++i)
-    {
-        zone.add_server({"s" + std::to_string(i),
-                         "r" + std::to_string(i / servers),
-                         accelerators,
-                         8});
-    }
-}
-
-} // namespace
+using namespace poplarramp::testing;
 
 TEST_GROUP(scheduler){};
 
--- /dev/null
+++ b/tests/policy_victims_test.cpp
@@ -0,0 +1,197 @@
+#include "policy/victims.hpp"
+
+#include "policy_helpers.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+using namespace poplarramp::testing;
+
+namespace
+{
+
+constexpr int worlds = 3000;
+
+// Three servers of 8 accelerators in one rack, filled at random.
+void fill(cluster& servers, dice& random, bool gangs)
+{
+    for (int i = 0; i < 3; ++i)
+    {
+        servers.add_server(make_server(i, 3, 8));
+    }
+    for (int number = 1; number <= 10; ++number)
+    {
+        placed_task task;
+        task.number = number;
+        task.pinned = random.chance(15);
+        task.in_guarantee = random.chance(15);
+        task.can_checkpoint = random.chance(30);
+        task.checkpoint_time = milliseconds(random.roll(3000));
+        task.started = start - milliseconds(random.roll(100'000));
+        const int members = gangs && random.chance(30) ? 2 : 1;
+        const int first = random.roll(3);
+        for (int m = 0; m < members; ++m)
+        {
+            const int server = (first + m) % 3;
+            const int free = servers.at(server).free().accelerators;
+            const int share = std::min(free, random.roll(5));
+            task.accelerators += share;
+            task.parts.push_back({server, share});
+        }
+        const bool slots =
+            std::all_of(task.parts.begin(),
+                        task.parts.end(),
+                        [&](const part& share)
+                        { return servers.at(share.server).free().slots > 0; });
+        if (slots)
+        {
+            servers.add_task(task);
+        }
+    }
+}
+
+// Accelerators that a job can have on a server when the victims are gone.
+int left_on(const cluster& servers, int server, unsigned victims)
+{
+    amount left{8, 8};
+    for (const auto& [number, task] : servers.tasks())
+    {
+        for (const auto& share : task.parts)
+        {
+            const bool stays = (victims >> number & 1U) == 0;
+            if (stays && share.server == server)
+            {
+                left.accelerators -= share.accelerators;
+                left.slots -= 1;
+            }
+        }
+    }
+    return left.slots > 0 ? left.accelerators : 0;
+}
+
+// Lowest cost over all subsets of victims that leave `wanted` on the servers.
+std::optional<std::int64_t> lowest_cost(const cluster& servers,
+                                        const std::vector<int>& indexes,
+                                        int wanted,
+                                        const victim_cost& cost)
+{
+    std::optional<std::int64_t> best;
+    for (unsigned victims = 0; victims < 1U << 11U; victims += 2)
+    {
+        std::int64_t sum = 0;
+        bool allowed = true;
+        for (unsigned number = 1; number <= 10; ++number)
+        {
+            if ((victims >> number & 1U) == 0)
+            {
+                continue;
+            }
+            const auto* task = servers.find_task(number);
+            const auto price = task == nullptr ? std::nullopt : cost(*task);
+            allowed = allowed && price.has_value();
+            sum += price.value_or(0);
+        }
+        int room = 0;
+        for (const int server : indexes)
+        {
+            room += left_on(servers, server, victims);
+        }
+        if (allowed && room >= wanted && (!best || sum < *best))
+        {
+            best = sum;
+        }
+    }
+    return best;
+}
+
+unsigned bits_of(const std::vector<std::int64_t>& victims)
+{
+    unsigned bits = 0;
+    for (const auto number : victims)
+    {
+        bits |= 1U << static_cast<unsigned>(number);
+    }
+    return bits;
+}
+
+} // namespace
+
+TEST_GROUP(victims){};
+
+// Guards against a reclaim that stops more work than necessary.
+TEST(victims, cost_is_lowest_on_one_server)
+{
+    dice random(4);
+    const auto cost = reclaim_cost(start);
+    for (int i = 0; i < worlds / 4; ++i)
+    {
+        cluster servers;
+        fill(servers, random, true);
+        const int wanted = 1 + random.roll(8);
+        const auto found = victims_on_server(servers, 0, wanted, cost);
+        const auto best = lowest_cost(servers, {0}, wanted, cost);
+        CHECK_EQUAL(best.has_value(), found.has_value());
+        if (found)
+        {
+            CHECK(*best == found->cost);
+            CHECK(left_on(servers, 0, bits_of(found->victims)) >= wanted);
+        }
+    }
+}
+
+// Guards against a gang whose victims are not the cheapest, or do not free
+// what the parts need.
+TEST(victims, cost_is_lowest_over_servers)
+{
+    dice random(5);
+    const auto cost = reclaim_cost(start);
+    const std::vector<int> indexes{0, 1, 2};
+    for (int i = 0; i < worlds / 4; ++i)
+    {
+        cluster servers;
+        const bool gangs = i % 2 == 1;
+        fill(servers, random, gangs);
+        const int wanted = 9 + random.roll(16);
+        const auto found = victims_on_servers(
+            servers, indexes, wanted, [](int) { return 8; }, cost);
+        const auto best = lowest_cost(servers, indexes, wanted, cost);
+        CHECK_EQUAL(best.has_value(), found.has_value());
+        if (!found)
+        {
+            continue;
+        }
+        CHECK(gangs ? *best <= found->cost : *best == found->cost);
+        int sum = 0;
+        for (const auto& share : found->parts)
+        {
+            sum += share.accelerators;
+            CHECK(left_on(servers, share.server, bits_of(found->victims)) >=
+                  share.accelerators);
+        }
+        CHECK_EQUAL(wanted, sum);
+    }
+}
+
+// Guards against a victim that loses its job, holds a guarantee, or has a
+// person waiting for it.
+TEST(victims, urgent_jobs_spare_what_cannot_be_repeated)
+{
+    placed_task task;
+    const auto cost = urgent_cost(start);
+    CHECK(cost(task).has_value());
+    task.idempotent = false;
+    CHECK_FALSE(cost(task).has_value());
+    CHECK(reclaim_cost(start)(task).has_value());
+    task.can_checkpoint = true;
+    CHECK(cost(task).has_value());
+    task.urgent = true;
+    CHECK_FALSE(cost(task).has_value());
+    task.pinned = true;
+    CHECK_FALSE(reclaim_cost(start)(task).has_value());
+}
