Add settings, sheet file and command line parsing

Cause: an entry VM needs its addresses from a file, and planners need to know before the morning whether a sheet can be met.

Ruled out: hand-written checks per key (a missed check is silent) and JsonCpp look-ups in place. A schema lists each key with what it allows and where the value goes, so unknown keys, types, ranges and the documentation follow one list. JsonCpp reports line and column of a duplicate key but no path; a scan of the text up to that position supplies it.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -1,20 +1,69 @@
 #include "cli/cli.hpp"
 
+#include "cli/command_line.hpp"
+#include "config/settings.hpp"
+#include "config/sheet_file.hpp"
+
 #include <iostream>
-#include <string_view>
+#include <string>
+#include <vector>
 
 namespace poplarramp
 {
 
+namespace
+{
+
+int report_failure(const failure& why)
+{
+    std::cerr << "cli: " << name_of(why.code) << ": " << why.reason << '\n';
+    return exit_usage;
+}
+
+int check_settings(const command_line& line)
+{
+    failure why;
+    if (!read_settings(line.arguments[0], why))
+    {
+        return report_failure(why);
+    }
+    std::cout << line.arguments[0] << ": ok\n";
+    return exit_ok;
+}
+
+int check_sheet_file(const command_line& line)
+{
+    failure why;
+    if (!read_sheet(line.arguments[0], why))
+    {
+        return report_failure(why);
+    }
+    std::cout << line.arguments[0] << ": ok\n";
+    return exit_ok;
+}
+
+int run(const command_line& line)
+{
+    if (line.command == "check-settings")
+    {
+        return check_settings(line);
+    }
+    return check_sheet_file(line);
+}
+
+} // namespace
+
 int run_command(int argc, char** argv)
 {
-    if (argc == 2 && std::string_view(argv[1]) == "--version")
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    early_exit exit;
+    const auto line = parse_command_line(arguments, exit);
+    if (!line)
     {
-        std::cout << "poplarramp " << POPLARRAMP_VERSION << '\n';
-        return exit_ok;
+        (exit.code == exit_ok ? std::cout : std::cerr) << exit.text;
+        return exit.code;
     }
-    std::cerr << "usage: poplarramp --version\n";
-    return exit_usage;
+    return run(*line);
 }
 
 } // namespace poplarramp
--- /dev/null
+++ b/src/config/schema.cpp
@@ -0,0 +1,394 @@
+#include "config/schema.hpp"
+
+#include <json/writer.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// Longest value that an error repeats, in characters.
+constexpr std::size_t max_found_text = 60;
+
+constexpr std::size_t max_name_length = 64;
+
+std::string found_text(const Json::Value& json)
+{
+    if (json.isObject())
+    {
+        return "an object";
+    }
+    if (json.isArray())
+    {
+        return "a list";
+    }
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    auto text = Json::writeString(builder, json);
+    if (text.size() > max_found_text)
+    {
+        text = text.substr(0, max_found_text) + "...";
+    }
+    return text;
+}
+
+// JsonCpp's `isInt` also accepts 5.0; only integer literals are allowed here.
+bool is_integer(const Json::Value& json)
+{
+    return json.type() == Json::intValue || json.type() == Json::uintValue;
+}
+
+bool is_between(const Json::Value& json, int least, int most)
+{
+    return is_integer(json) && json.isInt64() && json.asInt64() >= least &&
+           json.asInt64() <= most;
+}
+
+std::string range_text(const std::string& kind, int least, int most)
+{
+    return kind + " from " + std::to_string(least) + " to " +
+           std::to_string(most);
+}
+
+field simple_field(std::string key,
+                   std::string allowed,
+                   std::function<bool(const Json::Value&)> store)
+{
+    field result;
+    result.key = std::move(key);
+    result.allowed = allowed;
+    result.read =
+        [allowed = std::move(allowed), store = std::move(store)](
+            const Json::Value& json, const json_place& at, failure& why)
+    {
+        if (!store(json))
+        {
+            why = wrong_value(at, found_text(json), allowed);
+        }
+    };
+    return result;
+}
+
+std::string keys_text(const schema& members)
+{
+    std::string text;
+    for (const auto& member : members)
+    {
+        text += (text.empty() ? "" : ", ") + member.key;
+    }
+    return text;
+}
+
+bool check_keys(const Json::Value& json,
+                const json_place& at,
+                const schema& members,
+                failure& why)
+{
+    for (const auto& key : json.getMemberNames())
+    {
+        const bool known =
+            std::any_of(members.begin(),
+                        members.end(),
+                        [&](const field& member) { return member.key == key; });
+        if (!known)
+        {
+            why =
+                wrong_value(at.member(key), "unknown key", keys_text(members));
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+json_place json_place::member(const std::string& key) const
+{
+    return {file, path.empty() ? key : path + "." + key, code};
+}
+
+json_place json_place::element(std::size_t index) const
+{
+    return {file, path + "[" + std::to_string(index) + "]", code};
+}
+
+failure wrong_value(const json_place& at,
+                    const std::string& found,
+                    const std::string& allowed)
+{
+    const auto path = at.path.empty() ? "" : at.path + ": ";
+    return {at.code,
+            at.file + ": " + path + "found " + found + "; allowed: " + allowed};
+}
+
+bool is_name(std::string_view text)
+{
+    const auto allowed = [](unsigned char c)
+    {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+    };
+    return !text.empty() && text.size() <= max_name_length &&
+           std::all_of(text.begin(), text.end(), allowed);
+}
+
+field name_field(std::string key, std::string& target)
+{
+    return checked_field(
+        std::move(key),
+        "letters, digits, '-', '_' and '.', 1 to 64 characters",
+        [&target](const std::string& text)
+        {
+            target = text;
+            return is_name(text);
+        });
+}
+
+field text_field(std::string key, std::string& target)
+{
+    return checked_field(std::move(key),
+                         "text",
+                         [&target](const std::string& text)
+                         {
+                             target = text;
+                             return true;
+                         });
+}
+
+field time_field(std::string key, std::int64_t& target)
+{
+    return simple_field(std::move(key),
+                        "Unix time in milliseconds",
+                        [&target](const Json::Value& json)
+                        {
+                            if (!is_integer(json) || !json.isInt64() ||
+                                json.asInt64() < 0)
+                            {
+                                return false;
+                            }
+                            target = json.asInt64();
+                            return true;
+                        });
+}
+
+field integer_field(std::string key, int& target, int least, int most)
+{
+    return simple_field(std::move(key),
+                        range_text("integer", least, most),
+                        [&target, least, most](const Json::Value& json)
+                        {
+                            if (!is_between(json, least, most))
+                            {
+                                return false;
+                            }
+                            target = json.asInt();
+                            return true;
+                        });
+}
+
+field number_field(std::string key, double& target, double least, double most)
+{
+    std::string allowed = "number from " + found_text(Json::Value(least)) +
+                          " to " + found_text(Json::Value(most));
+    return simple_field(std::move(key),
+                        std::move(allowed),
+                        [&target, least, most](const Json::Value& json)
+                        {
+                            if (!json.isNumeric() || json.asDouble() < least ||
+                                json.asDouble() > most)
+                            {
+                                return false;
+                            }
+                            target = json.asDouble();
+                            return true;
+                        });
+}
+
+field duration_field(std::string key, milliseconds& target, int least, int most)
+{
+    return simple_field(std::move(key),
+                        range_text("milliseconds", least, most),
+                        [&target, least, most](const Json::Value& json)
+                        {
+                            if (!is_between(json, least, most))
+                            {
+                                return false;
+                            }
+                            target = milliseconds(json.asInt64());
+                            return true;
+                        });
+}
+
+field flag_field(std::string key, bool& target)
+{
+    return simple_field(std::move(key),
+                        "true, false",
+                        [&target](const Json::Value& json)
+                        {
+                            target = json.isBool() && json.asBool();
+                            return json.isBool();
+                        });
+}
+
+field name_list_field(std::string key, std::vector<std::string>& target)
+{
+    return simple_field(std::move(key),
+                        "list of names",
+                        [&target](const Json::Value& json)
+                        {
+                            target.clear();
+                            if (!json.isArray())
+                            {
+                                return false;
+                            }
+                            for (const auto& item : json)
+                            {
+                                if (!item.isString() ||
+                                    !is_name(item.asString()))
+                                {
+                                    return false;
+                                }
+                                target.push_back(item.asString());
+                            }
+                            return true;
+                        });
+}
+
+field checked_field(std::string key,
+                    std::string allowed,
+                    std::function<bool(const std::string&)> store)
+{
+    return simple_field(std::move(key),
+                        std::move(allowed),
+                        [store = std::move(store)](const Json::Value& json)
+                        { return json.isString() && store(json.asString()); });
+}
+
+field secret_field(std::string key,
+                   std::string allowed,
+                   std::function<bool(const std::string&)> store)
+{
+    auto result = checked_field(std::move(key), allowed, store);
+    result.read =
+        [allowed = std::move(allowed), store = std::move(store)](
+            const Json::Value& json, const json_place& at, failure& why)
+    {
+        if (!json.isString())
+        {
+            why = wrong_value(at, "no text", allowed);
+            return;
+        }
+        if (!store(json.asString()))
+        {
+            const auto size = std::to_string(json.asString().size());
+            why = wrong_value(at, "a text of " + size + " characters", allowed);
+        }
+    };
+    return result;
+}
+
+field object_field(std::string key, schema members)
+{
+    field result;
+    result.key = std::move(key);
+    result.allowed = "object";
+    result.inner = describe_keys(members);
+    result.read = [members = std::move(members)](const Json::Value& json,
+                                                 const json_place& at,
+                                                 failure& why)
+    {
+        read_object(json, at, members, why);
+    };
+    return result;
+}
+
+field required(field base)
+{
+    base.required = true;
+    return base;
+}
+
+field detail::list_field(
+    const std::string& key,
+    std::vector<key_description> inner,
+    std::function<void(const Json::Value&, const json_place&, failure&)>
+        read_element)
+{
+    field result;
+    result.key = key;
+    result.allowed = "list of objects";
+    for (auto& item : inner)
+    {
+        item.path = "[]." + item.path;
+    }
+    result.inner = std::move(inner);
+    result.read =
+        [read_element = std::move(read_element)](
+            const Json::Value& json, const json_place& at, failure& why)
+    {
+        if (!json.isArray())
+        {
+            why = wrong_value(at, found_text(json), "list of objects");
+            return;
+        }
+        for (Json::ArrayIndex i = 0; i < json.size() && !why; ++i)
+        {
+            read_element(json[i], at.element(i), why);
+        }
+    };
+    return result;
+}
+
+std::vector<key_description> describe_keys(const schema& members)
+{
+    std::vector<key_description> result;
+    for (const auto& member : members)
+    {
+        result.push_back({member.key, member.allowed});
+        for (const auto& inner : member.inner)
+        {
+            const bool in_list = inner.path.starts_with("[]");
+            result.push_back({member.key + (in_list ? "" : ".") + inner.path,
+                              inner.allowed});
+        }
+    }
+    return result;
+}
+
+bool read_object(const Json::Value& json,
+                 const json_place& at,
+                 const schema& members,
+                 failure& why)
+{
+    if (!json.isObject())
+    {
+        why = wrong_value(at, found_text(json), "object");
+        return false;
+    }
+    if (!check_keys(json, at, members, why))
+    {
+        return false;
+    }
+    for (const auto& member : members)
+    {
+        const auto place = at.member(member.key);
+        if (json.isMember(member.key))
+        {
+            member.read(json[member.key], place, why);
+        }
+        else if (member.required)
+        {
+            why = wrong_value(place, "nothing", member.allowed);
+        }
+        if (why)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/config/schema.hpp
@@ -0,0 +1,160 @@
+// Reads a JSON object into plain data by a schema: for each key what is allowed
+// and where the value goes. Unknown keys and missing required keys are errors.
+#ifndef POPLARRAMP_CONFIG_SCHEMA_HPP
+#define POPLARRAMP_CONFIG_SCHEMA_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace poplarramp
+{
+
+// Where a value is; used in errors.
+struct json_place
+{
+    std::string file;
+    // Such as "limits.max_waiting"; empty at the top.
+    std::string path;
+    result_code code = result_code::bad_request;
+
+    json_place member(const std::string& key) const;
+    json_place element(std::size_t index) const;
+};
+
+// Path of a key below the object and the values it allows, as in the
+// documentation; "[]" stands for the elements of a list.
+struct key_description
+{
+    std::string path;
+    std::string allowed;
+};
+
+// One key of an object.
+struct field
+{
+    std::string key;
+    std::string allowed;
+    bool required = false;
+    // Keys of the object or of the list's elements, if the value holds some.
+    std::vector<key_description> inner;
+    // Stores the value, or fills the failure.
+    std::function<void(const Json::Value&, const json_place&, failure&)> read;
+};
+
+using schema = std::vector<field>;
+
+// True for 1 to 64 letters, digits, '-', '_' and '.'; such names need no
+// escaping in table keys and URL paths.
+bool is_name(std::string_view text);
+
+// Fields refer to the variable they fill; it must outlive the schema.
+field name_field(std::string key, std::string& target);
+field text_field(std::string key, std::string& target);
+// Unix milliseconds.
+field time_field(std::string key, std::int64_t& target);
+field integer_field(std::string key, int& target, int least, int most);
+field number_field(std::string key, double& target, double least, double most);
+// Milliseconds as an integer.
+field duration_field(std::string key,
+                     milliseconds& target,
+                     int least,
+                     int most);
+field flag_field(std::string key, bool& target);
+field name_list_field(std::string key, std::vector<std::string>& target);
+
+// Text that `store` accepts. `allowed` completes "allowed: ...".
+field checked_field(std::string key,
+                    std::string allowed,
+                    std::function<bool(const std::string&)> store);
+// Like `checked_field`; errors show only the length of the text.
+field secret_field(std::string key,
+                   std::string allowed,
+                   std::function<bool(const std::string&)> store);
+
+// One of a fixed set of words.
+template <class Enum>
+field choice_field(std::string key,
+                   Enum& target,
+                   std::vector<std::pair<std::string, Enum>> choices)
+{
+    std::string allowed;
+    for (const auto& choice : choices)
+    {
+        allowed += (allowed.empty() ? "" : ", ") + choice.first;
+    }
+    return checked_field(std::move(key),
+                         std::move(allowed),
+                         [&target, choices](const std::string& word)
+                         {
+                             for (const auto& choice : choices)
+                             {
+                                 if (choice.first == word)
+                                 {
+                                     target = choice.second;
+                                     return true;
+                                 }
+                             }
+                             return false;
+                         });
+}
+
+field object_field(std::string key, schema members);
+
+field required(field base);
+
+// All keys of a schema with their paths, nested ones included.
+std::vector<key_description> describe_keys(const schema& members);
+
+// Reads `json` by `members`; the first error ends it. Returns false and fills
+// `why` with the file, the path of the key, what was found and what is allowed.
+bool read_object(const Json::Value& json,
+                 const json_place& at,
+                 const schema& members,
+                 failure& why);
+
+// Error for a value that is not allowed.
+failure wrong_value(const json_place& at,
+                    const std::string& found,
+                    const std::string& allowed);
+
+namespace detail
+{
+
+field list_field(
+    const std::string& key,
+    std::vector<key_description> inner,
+    std::function<void(const Json::Value&, const json_place&, failure&)>
+        read_element);
+
+} // namespace detail
+
+// List of objects; `describe` gives the schema that fills one element.
+template <class Element>
+field list_field(const std::string& key,
+                 std::vector<Element>& target,
+                 schema (*describe)(Element&))
+{
+    Element sample;
+    return detail::list_field(
+        key,
+        describe_keys(describe(sample)),
+        [&target,
+         describe](const Json::Value& json, const json_place& at, failure& why)
+        {
+            target.emplace_back();
+            read_object(json, at, describe(target.back()), why);
+        });
+}
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,82 @@
+// Settings of one entry VM, read from a file of strict JSON with comments.
+#ifndef POPLARRAMP_CONFIG_SETTINGS_HPP
+#define POPLARRAMP_CONFIG_SETTINGS_HPP
+
+#include "base/log.hpp"
+#include "base/result.hpp"
+#include "base/time.hpp"
+#include "config/schema.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplarramp
+{
+
+// Who may make operator calls. The name is recorded with each change.
+struct operator_account
+{
+    std::string name;
+    std::string token;
+};
+
+struct listen_settings
+{
+    // "ip:port" of the API for callers and operators.
+    std::string callers;
+    // "ip:port" of the protocol between entry VMs, as peers reach it.
+    std::string inner;
+};
+
+struct log_settings
+{
+    log_level level = log_level::info;
+    // "stderr" or the path of a file.
+    std::string destination = "stderr";
+};
+
+struct limit_settings
+{
+    // Callers that wait at a time.
+    int max_waiting = 10000;
+    // Body of a request.
+    int max_body_bytes = 1048576;
+    // Planned stop: requests in flight may take this long.
+    milliseconds stop_limit{30000};
+};
+
+struct settings
+{
+    std::string vm;
+    std::string zone;
+    listen_settings listen;
+    // "ip:port" of the platform's services.
+    std::string platform;
+    // Inner addresses of peers, tried while the membership list is empty.
+    std::vector<std::string> seeds;
+    std::vector<operator_account> operators;
+    log_settings log;
+    int traffic_threads = 2;
+    limit_settings limits;
+};
+
+// Keys of the settings file; the fields fill `target`.
+schema settings_schema(settings& target);
+
+// Parses and checks settings. On failure returns nothing and fills `why` with
+// `bad_settings` and one error: file, path of the key, what was found, what is
+// allowed. Thread safe.
+std::optional<settings>
+parse_settings(std::string_view text, const std::string& file, failure& why);
+std::optional<settings> read_settings(const std::string& file, failure& why);
+
+// Paths of the keys whose change needs a restart and that differ between the
+// two. Operators, log level and limits apply to a running process.
+std::vector<std::string> restart_keys(const settings& running,
+                                      const settings& wanted);
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/config/sheet_check.hpp
@@ -0,0 +1,38 @@
+// Rules of a sheet that concern several of its parts.
+#ifndef POPLARRAMP_CONFIG_SHEET_CHECK_HPP
+#define POPLARRAMP_CONFIG_SHEET_CHECK_HPP
+
+#include "base/result.hpp"
+#include "config/schema.hpp"
+#include "model/sheet.hpp"
+
+#include <vector>
+
+namespace poplarramp
+{
+
+// Blocks of one shape that an availability zone lacks for its guarantees.
+struct shortfall
+{
+    int shape = 0;
+    int wanted = 0;
+    int missing = 0;
+};
+
+// Packs the blocks of all guarantees of the availability zone into its racks,
+// largest first: a shape that fits the largest backend server goes to one
+// backend server, one that fits the largest rack to one rack, any other to the
+// fewest racks. Returns the blocks that found no place, largest shape first.
+// Exact for shapes that fit a backend server; for larger ones it may report a
+// shortfall that another packing would avoid. Thread safe.
+std::vector<shortfall> find_shortfalls(const sheet& plan,
+                                       const availability_zone& zone);
+
+// Checks that names are unique and known, shapes are powers of two, and the
+// guarantees of each availability zone can be met together. Returns false and
+// fills `why` with the first error. Thread safe.
+bool check_sheet(const sheet& plan, const json_place& top, failure& why);
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/config/sheet_file.cpp
@@ -0,0 +1,138 @@
+#include "config/sheet_file.hpp"
+
+#include "config/json_file.hpp"
+#include "config/sheet_check.hpp"
+
+namespace poplarramp
+{
+
+namespace
+{
+
+constexpr int most_servers = 10000;
+constexpr int most_accelerators = 1000000;
+constexpr int most_accelerators_per_server = 256;
+constexpr int most_queue = 1000000;
+constexpr int largest_shape = 256;
+constexpr int day_ms = 24 * 60 * 60 * 1000;
+constexpr int longest_run_ms = 14 * day_ms;
+constexpr double most_jobs_per_hour = 1e6;
+
+schema rack_schema(rack_plan& target)
+{
+    return {
+        required(name_field("name", target.name)),
+        required(integer_field("servers", target.servers, 1, most_servers)),
+        required(integer_field("accelerators_per_server",
+                               target.accelerators_per_server,
+                               0,
+                               most_accelerators_per_server)),
+    };
+}
+
+schema zone_schema(availability_zone& target)
+{
+    return {
+        required(name_field("name", target.name)),
+        required(name_field("region", target.region)),
+        required(list_field("racks", target.racks, rack_schema)),
+    };
+}
+
+schema customer_schema(customer& target)
+{
+    return {
+        required(name_field("name", target.name)),
+        integer_field("quota_accelerators",
+                      target.quota_accelerators,
+                      0,
+                      most_accelerators),
+        integer_field("queue_limit", target.queue_limit, 1, most_queue),
+    };
+}
+
+schema guarantee_schema(guarantee& target)
+{
+    return {
+        required(name_field("customer", target.customer)),
+        required(name_field("zone", target.zone)),
+        required(integer_field("shape", target.shape, 1, largest_shape)),
+        required(integer_field("count", target.count, 1, most_accelerators)),
+    };
+}
+
+schema kind_schema(job_kind& target)
+{
+    return {
+        required(name_field("name", target.name)),
+        required(choice_field<urgency>(
+            "urgency",
+            target.urgency_class,
+            {{"urgent", urgency::urgent}, {"patient", urgency::patient}})),
+        required(flag_field("idempotent", target.idempotent)),
+        flag_field("can_checkpoint", target.can_checkpoint),
+        flag_field("can_stop", target.can_stop),
+        name_list_field("zones", target.zones),
+        duration_field(
+            "expected_run_ms", target.expected_run, 0, longest_run_ms),
+        duration_field("checkpoint_time_ms", target.checkpoint_time, 0, day_ms),
+        duration_field(
+            "objective_within_ms", target.objective_within, 0, longest_run_ms),
+        number_field("objective_share", target.objective_share, 0, 1),
+    };
+}
+
+schema expected_schema(expected_work& target)
+{
+    return {
+        required(name_field("customer", target.customer)),
+        required(name_field("kind", target.kind)),
+        required(integer_field(
+            "accelerators", target.accelerators, 0, largest_shape)),
+        required(number_field(
+            "jobs_per_hour", target.jobs_per_hour, 0, most_jobs_per_hour)),
+    };
+}
+
+} // namespace
+
+schema sheet_schema(sheet& target)
+{
+    return {
+        required(list_field("zones", target.zones, zone_schema)),
+        required(list_field("customers", target.customers, customer_schema)),
+        list_field("guarantees", target.guarantees, guarantee_schema),
+        required(list_field("kinds", target.kinds, kind_schema)),
+        list_field("expected", target.expected, expected_schema),
+    };
+}
+
+std::optional<sheet>
+parse_sheet(std::string_view text, const std::string& file, failure& why)
+{
+    const json_place top{file, "", result_code::bad_sheet};
+    const auto json = parse_commented_json(text, file, top.code, why);
+    if (!json)
+    {
+        return std::nullopt;
+    }
+    sheet result;
+    if (!read_object(*json, top, sheet_schema(result), why) ||
+        !check_sheet(result, top, why))
+    {
+        return std::nullopt;
+    }
+    return result;
+}
+
+std::optional<sheet> read_sheet(const std::string& file, failure& why)
+{
+    const auto text = read_file(file, result_code::bad_sheet, why);
+    if (!text)
+    {
+        return std::nullopt;
+    }
+    return parse_sheet(*text, file, why);
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/config/sheet_file.hpp
@@ -0,0 +1,29 @@
+// The sheet as planners export it: strict JSON with comments, checked as a
+// whole before it is applied.
+#ifndef POPLARRAMP_CONFIG_SHEET_FILE_HPP
+#define POPLARRAMP_CONFIG_SHEET_FILE_HPP
+
+#include "base/result.hpp"
+#include "config/schema.hpp"
+#include "model/sheet.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace poplarramp
+{
+
+// Keys of the sheet file; the fields fill `target`.
+schema sheet_schema(sheet& target);
+
+// Parses and checks a sheet: keys and values, names, shapes and guarantees. On
+// failure returns nothing and fills `why` with `bad_sheet` and one error that
+// names the file and the path of the key. Thread safe.
+std::optional<sheet>
+parse_sheet(std::string_view text, const std::string& file, failure& why);
+std::optional<sheet> read_sheet(const std::string& file, failure& why);
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,150 @@
+#include "config/json_file.hpp"
+#include "config/settings.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+
+namespace
+{
+
+const std::string good_settings = R"({
+    // comment
+    "vm": "durban-1", "zone": "kzn-durban",
+    "listen": {"callers": "127.0.0.1:7100", "inner": "127.0.0.1:7200"},
+    "platform": "127.0.0.1:7000",
+    "operators": [{"name": "planner", "token": "0123456789abcdef"}],
+    "traffic_threads": 3
+})";
+
+std::string replaced(const std::string& from, const std::string& to)
+{
+    auto text = good_settings;
+    const auto at = text.find(from);
+    CHECK(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+// Reason of the refusal of a settings text; empty if it was accepted.
+std::string reason_of(const std::string& text)
+{
+    failure why;
+    const auto result = parse_settings(text, "s.jsonc", why);
+    CHECK(result.has_value() == !why);
+    CHECK(result.has_value() || why.code == result_code::bad_settings);
+    return why.reason;
+}
+
+void check_reason(const std::string& text, const char* expected)
+{
+    STRCMP_EQUAL(expected, reason_of(text).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(settings_file){};
+
+// Guards against a value that is read into the wrong place or a default that is
+// lost.
+TEST(settings_file, reads_values_and_keeps_defaults)
+{
+    failure why;
+    const auto item = parse_settings(good_settings, "s.jsonc", why);
+    CHECK(item.has_value());
+    CHECK(item->vm == "durban-1" && item->zone == "kzn-durban");
+    CHECK(item->listen.callers == "127.0.0.1:7100");
+    CHECK(item->listen.inner == "127.0.0.1:7200");
+    CHECK(item->platform == "127.0.0.1:7000");
+    CHECK(item->operators.at(0).token == "0123456789abcdef");
+    CHECK(item->traffic_threads == 3);
+    CHECK(item->limits.max_waiting == limit_settings().max_waiting);
+}
+
+// Guards against a misspelt key that is silently ignored.
+TEST(settings_file, refuses_unknown_key)
+{
+    check_reason(replaced("\"traffic_threads\"", "\"traffic_thread\""),
+                 "s.jsonc: traffic_thread: found unknown key; allowed: vm, "
+                 "zone, listen, platform, seeds, operators, log, "
+                 "traffic_threads, limits");
+}
+
+// Guards against a wrong type or a value out of range that is accepted, and
+// against an error without path, found value or range.
+TEST(settings_file, refuses_wrong_type_and_range)
+{
+    check_reason(replaced("_threads\": 3", "_threads\": \"3\""),
+                 "s.jsonc: traffic_threads: found \"3\"; allowed: integer from "
+                 "1 to 64");
+    check_reason(replaced("_threads\": 3", "_threads\": 65"),
+                 "s.jsonc: traffic_threads: found 65; allowed: integer from 1 "
+                 "to 64");
+    check_reason(replaced("127.0.0.1:7200", "127.0.0.1:70000"),
+                 "s.jsonc: listen.inner: found \"127.0.0.1:70000\"; allowed: "
+                 "IPv4 address and port, such as 127.0.0.1:7100");
+    check_reason(
+        replaced("\"platform\": \"127.0.0.1:7000\"", "\"platform\": {}"),
+        "s.jsonc: platform: found an object; allowed: IPv4 address "
+        "and port, such as 127.0.0.1:7100");
+}
+
+// Guards against a process that starts without an address or a name.
+TEST(settings_file, refuses_missing_key)
+{
+    check_reason(replaced("\"vm\": \"durban-1\",", ""),
+                 "s.jsonc: vm: found nothing; allowed: letters, digits, '-', "
+                 "'_' and '.', 1 to 64 characters");
+}
+
+// Guards against the last of two equal keys winning silently.
+TEST(settings_file, refuses_duplicate_key_with_its_path)
+{
+    check_reason(
+        replaced("\"inner\"", "\"callers\": \"127.0.0.1:1\", \"inner\""),
+        "s.jsonc:4:45: listen.callers: Duplicate key: 'callers'; allowed: each "
+        "key once");
+}
+
+// Guards against a token that appears in logs and terminals.
+TEST(settings_file, does_not_print_tokens)
+{
+    const auto reason = reason_of(replaced("0123456789abcdef", "secret"));
+    CHECK(reason.find("secret") == std::string::npos);
+    CHECK(reason.find("operators[0].token") != std::string::npos);
+}
+
+// Guards against text after the settings and against trailing commas, which
+// show a file that was cut or merged badly.
+TEST(settings_file, refuses_text_that_is_not_strict)
+{
+    CHECK(!reason_of(good_settings + "{}").empty());
+    CHECK(!reason_of(replaced("_threads\": 3", "_threads\": 3,")).empty());
+    CHECK(!reason_of(std::string(10000, '[')).empty());
+    CHECK(!reason_of("").empty());
+}
+
+// Guards against a reload that appears to work although the running process
+// cannot use the new value.
+TEST(settings_file, names_keys_that_need_a_restart)
+{
+    settings running;
+    settings wanted;
+    wanted.platform = "127.0.0.1:1";
+    wanted.log.level = log_level::debug;
+    wanted.operators.push_back({"planner", "0123456789abcdef"});
+    const auto keys = restart_keys(running, wanted);
+    CHECK(keys == std::vector<std::string>{"platform"});
+}
+
+// Guards against a path that is wrong after comments and nested values.
+TEST(settings_file, finds_the_path_of_a_position)
+{
+    const std::string text =
+        R"({"a": 1, /* } */ "b": [{"c": "\"]"}, {"d": 0}]})";
+    CHECK(path_at(text, text.find('0')) == "b[1].d");
+    CHECK(path_at(text, text.find('1')) == "a");
+}
--- /dev/null
+++ b/tests/sheet_test.cpp
@@ -0,0 +1,151 @@
+#include "config/sheet_check.hpp"
+#include "config/sheet_file.hpp"
+#include "model/codec.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+
+namespace
+{
+
+// One availability zone with 2 racks of 2 backend servers of 8 accelerators.
+sheet small_sheet()
+{
+    sheet plan;
+    plan.zones.push_back({"z", "r", {{"r1", 2, 8}, {"r2", 2, 8}}});
+    plan.customers.push_back({"a", 0, 10});
+    plan.customers.push_back({"b", 0, 10});
+    job_kind kind;
+    kind.name = "k";
+    kind.zones = {"z"};
+    plan.kinds.push_back(kind);
+    plan.expected.push_back({"a", "k", 1, 2.5});
+    return plan;
+}
+
+// Reason of the refusal of a sheet; empty if it is accepted.
+std::string reason_of(const sheet& plan)
+{
+    failure why;
+    const auto read = parse_sheet(json_text(to_json(plan)), "sheet", why);
+    CHECK(read.has_value() == !why);
+    CHECK(read.has_value() || why.code == result_code::bad_sheet);
+    return why.reason;
+}
+
+std::string reason_of_guarantees(std::vector<guarantee> items)
+{
+    auto plan = small_sheet();
+    plan.guarantees = std::move(items);
+    return reason_of(plan);
+}
+
+} // namespace
+
+TEST_GROUP(sheet_file){};
+
+// Guards against a key that the sheet file and the stored configuration name
+// differently, so that the output of "show config" cannot be applied.
+TEST(sheet_file, reads_what_the_codec_writes)
+{
+    auto plan = small_sheet();
+    plan.guarantees.push_back({"a", "z", 8, 2});
+    failure why;
+    const auto text = json_text(to_json(plan));
+    const auto read = parse_sheet(text, "sheet", why);
+    CHECK(read.has_value());
+    STRCMP_EQUAL(text.c_str(), json_text(to_json(*read)).c_str());
+}
+
+// Guards against a name with a spelling error that leaves a customer without
+// its guarantee or a kind without an availability zone.
+TEST(sheet_file, refuses_unknown_names)
+{
+    STRCMP_EQUAL("sheet: guarantees[0].customer: found unknown \"c\"; allowed: "
+                 "a, b",
+                 reason_of_guarantees({{"c", "z", 8, 1}}).c_str());
+    STRCMP_EQUAL("sheet: guarantees[0].zone: found unknown \"y\"; allowed: z",
+                 reason_of_guarantees({{"a", "y", 8, 1}}).c_str());
+    auto plan = small_sheet();
+    plan.kinds[0].zones = {"z", "y"};
+    STRCMP_EQUAL("sheet: kinds[0].zones[1]: found unknown \"y\"; allowed: z",
+                 reason_of(plan).c_str());
+    plan = small_sheet();
+    plan.expected[0].kind = "l";
+    STRCMP_EQUAL("sheet: expected[0].kind: found unknown \"l\"; allowed: k",
+                 reason_of(plan).c_str());
+}
+
+// Guards against two entries of one name, of which one would be ignored.
+TEST(sheet_file, refuses_repeated_names)
+{
+    auto plan = small_sheet();
+    plan.customers[1].name = "a";
+    STRCMP_EQUAL(
+        "sheet: customers[1].name: found \"a\" again; allowed: each name once",
+        reason_of(plan).c_str());
+    plan = small_sheet();
+    plan.zones[0].racks[1].name = "r1";
+    STRCMP_EQUAL("sheet: zones[0].racks[1].name: found \"r1\" again; allowed: "
+                 "each name once",
+                 reason_of(plan).c_str());
+    CHECK(!reason_of_guarantees({{"a", "z", 8, 1}, {"a", "z", 8, 1}}).empty());
+}
+
+// Guards against a shape that the packing cannot handle.
+TEST(sheet_file, refuses_shape_that_is_no_power_of_two)
+{
+    STRCMP_EQUAL("sheet: guarantees[0].shape: found 6; allowed: power of two "
+                 "from 1 to 256",
+                 reason_of_guarantees({{"a", "z", 6, 1}}).c_str());
+    CHECK(!reason_of_guarantees({{"a", "z", 512, 1}}).empty());
+}
+
+TEST_GROUP(sheet_guarantees){};
+
+// Guards against a guarantee that is sold twice: each fits alone, but not both.
+TEST(sheet_guarantees, are_checked_together)
+{
+    CHECK(reason_of_guarantees({{"a", "z", 8, 4}}).empty());
+    STRCMP_EQUAL(
+        "sheet: guarantees: found 5 blocks of shape 8 of which 1 (8 "
+        "accelerators) do not fit in z; allowed: guarantees that the "
+        "racks of z can meet together",
+        reason_of_guarantees({{"a", "z", 8, 3}, {"b", "z", 8, 2}}).c_str());
+}
+
+// Guards against counting accelerators instead of adjacent ones: 4 backend
+// servers with 6 accelerators hold 24, but only 4 blocks of 4.
+TEST(sheet_guarantees, need_adjacent_accelerators)
+{
+    auto plan = small_sheet();
+    plan.zones[0].racks = {{"r1", 4, 6}};
+    plan.guarantees = {{"a", "z", 4, 4}, {"a", "z", 2, 4}};
+    CHECK(find_shortfalls(plan, plan.zones[0]).empty());
+    plan.guarantees = {{"a", "z", 4, 5}};
+    const auto missing = find_shortfalls(plan, plan.zones[0]);
+    CHECK(missing.size() == 1);
+    CHECK(missing[0].wanted == 5 && missing[0].missing == 1);
+}
+
+// Guards against a shape above the backend server that spans racks, and one
+// above the rack that is refused although the availability zone holds it.
+TEST(sheet_guarantees, follow_the_span_of_the_shape)
+{
+    // Two backend servers of one rack each.
+    CHECK(reason_of_guarantees({{"a", "z", 16, 2}}).empty());
+    CHECK(!reason_of_guarantees({{"a", "z", 16, 3}}).empty());
+    // Both racks.
+    CHECK(reason_of_guarantees({{"a", "z", 32, 1}}).empty());
+    CHECK(!reason_of_guarantees({{"a", "z", 32, 1}, {"b", "z", 1, 1}}).empty());
+    // Each rack holds one block of 8 and one of 4, not three blocks of 8 in 24.
+    auto plan = small_sheet();
+    plan.zones[0].racks = {{"r1", 3, 4}, {"r2", 3, 4}};
+    plan.guarantees = {{"a", "z", 8, 2}, {"a", "z", 4, 2}};
+    CHECK(find_shortfalls(plan, plan.zones[0]).empty());
+    plan.guarantees = {{"a", "z", 8, 3}};
+    CHECK(find_shortfalls(plan, plan.zones[0]).size() == 1);
+}
