Add the HTTP API, the remote commands and the reference of codes and keys

Cause: callers and operators need one way in, and result codes, settings and sheet keys need a reference that cannot drift from the code.

Ruled out: HTTP status 503 for a job that ended "not run"; a client could not tell it from a call that failed, so the reply about an ended job has status 200 and its code in the body.

Change: entry/target, entry/replies, entry/api over the controller interface; cli/api_client and cli/remote with retries at the next entry VM; tables in docs/settings.md and docs/result-codes.md, compared with the schemas and the enumeration by tests/docs_test.cpp.

--- /dev/null
+++ b/src/cli/api_client.cpp
@@ -0,0 +1,51 @@
+#include "cli/api_client.hpp"
+
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// The entry VM did not handle the request, so that another one may.
+bool was_not_handled(const api_reply& reply)
+{
+    return reply.result.code == result_code::unreachable ||
+           reply.result.code == result_code::vm_stopping;
+}
+
+} // namespace
+
+api_client::api_client(std::vector<std::string> servers,
+                       std::string token,
+                       milliseconds timeout,
+                       api_sender send)
+    : servers_(std::move(servers)), token_(std::move(token)), timeout_(timeout),
+      send_(std::move(send))
+{
+}
+
+api_reply
+api_client::call(http_request request, milliseconds wait, bool repeatable)
+{
+    if (!token_.empty())
+    {
+        request.authorization = "Bearer " + token_;
+    }
+    api_reply reply;
+    for (std::size_t tries = 0; tries < servers_.size(); ++tries)
+    {
+        reply = send_(servers_[current_], request, wait + timeout_);
+        const bool again =
+            was_not_handled(reply) || (repeatable && !reply.answered);
+        if (!again)
+        {
+            return reply;
+        }
+        current_ = (current_ + 1) % servers_.size();
+    }
+    return reply;
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/cli/api_client.hpp
@@ -0,0 +1,63 @@
+// Calls the API of entry VMs from the command line.
+#ifndef POPLARRAMP_CLI_API_CLIENT_HPP
+#define POPLARRAMP_CLI_API_CLIENT_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+#include "http/message.hpp"
+
+#include <json/value.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace poplarramp
+{
+
+// Reply of an entry VM, or why there is none. `result` is the code in the body
+// if there is a reply, so that a refusal and a lost call are told apart by
+// `answered`.
+struct api_reply
+{
+    bool answered = false;
+    failure result;
+    Json::Value body;
+};
+
+// Sends one request to one entry VM and waits for the reply.
+using api_sender = std::function<api_reply(const std::string& server,
+                                           const http_request& request,
+                                           milliseconds limit)>;
+
+// Sends over HTTP with a connection per call.
+api_reply send_over_http(const std::string& server,
+                         const http_request& request,
+                         milliseconds limit);
+
+// Sends requests to the first entry VM that answers. Not thread safe.
+class api_client
+{
+public:
+    // `timeout` is the longest time for one call beyond the time that the call
+    // is meant to wait.
+    api_client(std::vector<std::string> servers,
+               std::string token,
+               milliseconds timeout,
+               api_sender send);
+
+    // Tries the entry VMs in turn, beginning with the one that answered last.
+    // A request that may have been handled is sent again only if `repeatable`.
+    api_reply call(http_request request, milliseconds wait, bool repeatable);
+
+private:
+    std::vector<std::string> servers_;
+    std::string token_;
+    milliseconds timeout_;
+    api_sender send_;
+    std::size_t current_ = 0;
+};
+
+} // namespace poplarramp
+
+#endif
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -28,6 +28,7 @@
     }
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
+    builder["precision"] = 10;
     auto text = Json::writeString(builder, json);
     if (text.size() > max_found_text)
     {
@@ -149,112 +150,127 @@
 
 field text_field(std::string key, std::string& target)
 {
-    return checked_field(std::move(key),
-                         "text",
-                         [&target](const std::string& text)
-                         {
-                             target = text;
-                             return true;
-                         });
+    auto result = checked_field(std::move(key),
+                                "text",
+                                [&target](const std::string& text)
+                                {
+                                    target = text;
+                                    return true;
+                                });
+    result.fallback = target.empty() ? "empty" : target;
+    return result;
 }
 
 field time_field(std::string key, std::int64_t& target)
 {
-    return simple_field(std::move(key),
-                        "Unix time in milliseconds",
-                        [&target](const Json::Value& json)
-                        {
-                            if (!is_integer(json) || !json.isInt64() ||
-                                json.asInt64() < 0)
-                            {
-                                return false;
-                            }
-                            target = json.asInt64();
-                            return true;
-                        });
+    auto result = simple_field(std::move(key),
+                               "Unix time in milliseconds",
+                               [&target](const Json::Value& json)
+                               {
+                                   if (!is_integer(json) || !json.isInt64() ||
+                                       json.asInt64() < 0)
+                                   {
+                                       return false;
+                                   }
+                                   target = json.asInt64();
+                                   return true;
+                               });
+    result.fallback = std::to_string(target);
+    return result;
 }
 
 field integer_field(std::string key, int& target, int least, int most)
 {
-    return simple_field(std::move(key),
-                        range_text("integer", least, most),
-                        [&target, least, most](const Json::Value& json)
-                        {
-                            if (!is_between(json, least, most))
-                            {
-                                return false;
-                            }
-                            target = json.asInt();
-                            return true;
-                        });
+    auto result = simple_field(std::move(key),
+                               range_text("integer", least, most),
+                               [&target, least, most](const Json::Value& json)
+                               {
+                                   if (!is_between(json, least, most))
+                                   {
+                                       return false;
+                                   }
+                                   target = json.asInt();
+                                   return true;
+                               });
+    result.fallback = std::to_string(target);
+    return result;
 }
 
 field number_field(std::string key, double& target, double least, double most)
 {
     std::string allowed = "number from " + found_text(Json::Value(least)) +
                           " to " + found_text(Json::Value(most));
-    return simple_field(std::move(key),
-                        std::move(allowed),
-                        [&target, least, most](const Json::Value& json)
-                        {
-                            if (!json.isNumeric() || json.asDouble() < least ||
-                                json.asDouble() > most)
-                            {
-                                return false;
-                            }
-                            target = json.asDouble();
-                            return true;
-                        });
+    auto result =
+        simple_field(std::move(key),
+                     std::move(allowed),
+                     [&target, least, most](const Json::Value& json)
+                     {
+                         if (!json.isNumeric() || json.asDouble() < least ||
+                             json.asDouble() > most)
+                         {
+                             return false;
+                         }
+                         target = json.asDouble();
+                         return true;
+                     });
+    result.fallback = found_text(Json::Value(target));
+    return result;
 }
 
 field duration_field(std::string key, milliseconds& target, int least, int most)
 {
-    return simple_field(std::move(key),
-                        range_text("milliseconds", least, most),
-                        [&target, least, most](const Json::Value& json)
-                        {
-                            if (!is_between(json, least, most))
-                            {
-                                return false;
-                            }
-                            target = milliseconds(json.asInt64());
-                            return true;
-                        });
+    auto result = simple_field(std::move(key),
+                               range_text("milliseconds", least, most),
+                               [&target, least, most](const Json::Value& json)
+                               {
+                                   if (!is_between(json, least, most))
+                                   {
+                                       return false;
+                                   }
+                                   target = milliseconds(json.asInt64());
+                                   return true;
+                               });
+    result.fallback = std::to_string(target.count());
+    return result;
 }
 
 field flag_field(std::string key, bool& target)
 {
-    return simple_field(std::move(key),
-                        "true, false",
-                        [&target](const Json::Value& json)
-                        {
-                            target = json.isBool() && json.asBool();
-                            return json.isBool();
-                        });
+    auto result = simple_field(std::move(key),
+                               "true, false",
+                               [&target](const Json::Value& json)
+                               {
+                                   target = json.isBool() && json.asBool();
+                                   return json.isBool();
+                               });
+    result.fallback = target ? "true" : "false";
+    return result;
 }
 
 field name_list_field(std::string key, std::vector<std::string>& target)
 {
-    return simple_field(std::move(key),
-                        "list of names",
-                        [&target](const Json::Value& json)
-                        {
-                            target.clear();
-                            if (!json.isArray())
-                            {
-                                return false;
-                            }
-                            for (const auto& item : json)
-                            {
-                                if (!item.isString() ||
-                                    !is_name(item.asString()))
-                                {
-                                    return false;
-                                }
-                                target.push_back(item.asString());
-                            }
-                            return true;
-                        });
+    auto result =
+        simple_field(std::move(key),
+                     "list of names",
+                     [&target](const Json::Value& json)
+                     {
+                         target.clear();
+                         if (!json.isArray())
+                         {
+                             return false;
+                         }
+                         for (const auto& item : json)
+                         {
+                             if (!item.isString() || !is_name(item.asString()))
+                             {
+                                 return false;
+                             }
+                             target.push_back(item.asString());
+                         }
+                         return true;
+                     });
+    result.fallback = "empty";
+    return result;
 }
 
 field checked_field(std::string key,
@@ -320,6 +336,7 @@
     field result;
     result.key = key;
     result.allowed = "list of objects";
+    result.fallback = "empty";
     for (auto& item : inner)
     {
         item.path = "[]." + item.path;
@@ -347,12 +364,15 @@
     std::vector<key_description> result;
     for (const auto& member : members)
     {
-        result.push_back({member.key, member.allowed});
+        result.push_back({member.key,
+                          member.allowed,
+                          member.required ? "required" : member.fallback});
         for (const auto& inner : member.inner)
         {
             const bool in_list = inner.path.starts_with("[]");
             result.push_back({member.key + (in_list ? "" : ".") + inner.path,
-                              inner.allowed});
+                              inner.allowed,
+                              inner.fallback});
         }
     }
     return result;
--- a/src/config/schema.hpp
+++ b/src/config/schema.hpp
@@ -36,6 +36,8 @@
 {
     std::string path;
     std::string allowed;
+    // "required", "-" for an object, else the value of an absent key.
+    std::string fallback;
 };
 
 // One key of an object.
@@ -43,6 +45,8 @@
 {
     std::string key;
     std::string allowed;
+    // Value of an absent key, as text.
+    std::string fallback = "-";
     bool required = false;
     // Keys of the object or of the list's elements, if the value holds some.
     std::vector<key_description> inner;
@@ -56,7 +60,8 @@
 // escaping in table keys and URL paths.
 bool is_name(std::string_view text);
 
-// Fields refer to the variable they fill; it must outlive the schema.
+// Fields refer to the variable they fill; it must outlive the schema and holds
+// the value of an absent key.
 field name_field(std::string key, std::string& target);
 field text_field(std::string key, std::string& target);
 // Unix milliseconds.
@@ -87,24 +92,28 @@
                    std::vector<std::pair<std::string, Enum>> choices)
 {
     std::string allowed;
+    std::string fallback;
     for (const auto& choice : choices)
     {
         allowed += (allowed.empty() ? "" : ", ") + choice.first;
+        fallback = choice.second == target ? choice.first : fallback;
     }
-    return checked_field(std::move(key),
-                         std::move(allowed),
-                         [&target, choices](const std::string& word)
-                         {
-                             for (const auto& choice : choices)
-                             {
-                                 if (choice.first == word)
-                                 {
-                                     target = choice.second;
-                                     return true;
-                                 }
-                             }
-                             return false;
-                         });
+    auto result = checked_field(std::move(key),
+                                std::move(allowed),
+                                [&target, choices](const std::string& word)
+                                {
+                                    for (const auto& choice : choices)
+                                    {
+                                        if (choice.first == word)
+                                        {
+                                            target = choice.second;
+                                            return true;
+                                        }
+                                    }
+                                    return false;
+                                });
+    result.fallback = std::move(fallback);
+    return result;
 }
 
 field object_field(std::string key, schema members);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -50,6 +50,8 @@
 const std::string address_rule = "IPv4 address and port, such as "
                                  "127.0.0.1:7100";
 
+const std::string seeds_rule = "list of IPv4 addresses with port";
+
 field address_field(std::string key, std::string& target)
 {
     return checked_field(std::move(key),
@@ -65,13 +67,14 @@
 {
     field result;
     result.key = "seeds";
-    result.allowed = "list of IPv4 addresses with port";
+    result.allowed = seeds_rule;
+    result.fallback = "empty";
     result.read =
         [&target](const Json::Value& json, const json_place& at, failure& why)
     {
         if (!json.isArray())
         {
-            why = wrong_value(at, "no list", "list of " + address_rule);
+            why = wrong_value(at, "no list", seeds_rule);
             return;
         }
         for (Json::ArrayIndex i = 0; i < json.size() && !why; ++i)
@@ -103,13 +106,16 @@
         target.destination = text;
         return !text.empty();
     };
+    auto destination =
+        checked_field("destination", "stderr, path of a file", store);
+    destination.fallback = target.destination;
     return {choice_field<log_level>("level",
                                     target.level,
                                     {{"debug", log_level::debug},
                                      {"info", log_level::info},
                                      {"warning", log_level::warning},
                                      {"error", log_level::error}}),
-            checked_field("destination", "stderr, path of a file", store)};
+            destination};
 }
 
 schema limit_schema(limit_settings& target)
--- a/src/config/sheet_check.cpp
+++ b/src/config/sheet_check.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <cstdint>
 #include <map>
 #include <numeric>
 #include <set>
@@ -325,7 +326,7 @@
         text += std::to_string(item.wanted) + " blocks of shape " +
                 std::to_string(item.shape) + " of which " +
                 std::to_string(item.missing) + " (" +
-                std::to_string(item.missing * item.shape) +
+                std::to_string(std::int64_t{item.missing} * item.shape) +
                 " accelerators) do not fit";
     }
     return text;
--- a/src/config/sheet_file.cpp
+++ b/src/config/sheet_file.cpp
@@ -13,6 +13,7 @@
 constexpr int most_accelerators = 1000000;
 constexpr int most_accelerators_per_server = 256;
 constexpr int most_queue = 1000000;
+constexpr int most_blocks = 10000;
 constexpr int largest_shape = 256;
 constexpr int day_ms = 24 * 60 * 60 * 1000;
 constexpr int longest_run_ms = 14 * day_ms;
@@ -57,7 +58,7 @@
         required(name_field("customer", target.customer)),
         required(name_field("zone", target.zone)),
         required(integer_field("shape", target.shape, 1, largest_shape)),
-        required(integer_field("count", target.count, 1, most_accelerators)),
+        required(integer_field("count", target.count, 1, most_blocks)),
     };
 }
 
--- /dev/null
+++ b/src/entry/api.cpp
@@ -0,0 +1,414 @@
+#include "entry/api.hpp"
+
+#include "base/log.hpp"
+#include "config/schema.hpp"
+#include "config/sheet_file.hpp"
+#include "entry/replies.hpp"
+#include "entry/target.hpp"
+#include "model/codec.hpp"
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+constexpr std::string_view bearer = "Bearer ";
+// Largest gang.
+constexpr int most_accelerators = 256;
+
+// Takes the same time wherever the first difference is, so that a token cannot
+// be guessed character by character.
+bool equal_secret(std::string_view given, std::string_view secret)
+{
+    if (given.size() != secret.size())
+    {
+        return false;
+    }
+    unsigned difference = 0;
+    for (std::size_t i = 0; i < given.size(); ++i)
+    {
+        difference |= static_cast<unsigned char>(given[i]) ^
+                      static_cast<unsigned char>(secret[i]);
+    }
+    return difference == 0;
+}
+
+std::optional<job_request>
+read_job(const std::string& body, const clock_mapping& clock, failure& why)
+{
+    const auto json = parse_json(body, why);
+    if (!json)
+    {
+        return std::nullopt;
+    }
+    job_request request;
+    std::int64_t deadline = 0;
+    const schema members{
+        required(name_field("customer", request.customer)),
+        required(name_field("key", request.key)),
+        required(name_field("kind", request.kind)),
+        integer_field(
+            "accelerators", request.accelerators, 0, most_accelerators),
+        text_field("payload", request.payload),
+        time_field("deadline", deadline),
+    };
+    if (!read_object(
+            *json, {"job", "", result_code::bad_request}, members, why))
+    {
+        return std::nullopt;
+    }
+    request.deadline = clock.from_unix(deadline);
+    return request;
+}
+
+} // namespace
+
+struct api::call
+{
+    http_request request;
+    request_target target;
+    // Segments of the path at the places of "{}".
+    std::vector<std::string> values;
+    std::string operator_name;
+    responder respond;
+};
+
+struct api::route
+{
+    std::string_view method;
+    std::string_view path;
+    // Changes the configuration and needs the token of an operator.
+    bool operators_only;
+    void (api::*handle)(call&);
+};
+
+std::span<const api::route> api::routes()
+{
+    static constexpr std::array table{
+        route{"POST", "/v1/jobs", false, &api::submit},
+        route{"GET", "/v1/jobs", false, &api::show_jobs},
+        route{"GET", "/v1/jobs/{}/{}", false, &api::get_job},
+        route{"DELETE", "/v1/jobs/{}/{}", false, &api::cancel_job},
+        route{"GET", "/v1/zones", false, &api::show_zones},
+        route{"GET", "/v1/backend-servers", false, &api::show_servers},
+        route{"GET", "/v1/customers", false, &api::show_customers},
+        route{"GET", "/v1/vms", false, &api::show_vms},
+        route{"GET", "/v1/config", false, &api::show_config},
+        route{"POST", "/v1/sheet", true, &api::apply_sheet},
+        route{"POST", "/v1/zones/{}/out", true, &api::zone_out},
+        route{"POST", "/v1/zones/{}/back", true, &api::zone_back},
+        route{"GET", "/metrics", false, &api::show_metrics},
+        route{"GET", "/health", false, &api::show_health},
+    };
+    return table;
+}
+
+api::api(controller& control,
+         api_settings values,
+         clock_mapping clock,
+         std::function<time_point()> now)
+    : control_(control), values_(std::move(values)), clock_(clock),
+      now_(std::move(now))
+{
+}
+
+void api::update(api_settings values)
+{
+    values_ = std::move(values);
+}
+
+void api::begin_stop()
+{
+    stopping_ = true;
+}
+
+void api::handle(http_request request, responder respond)
+{
+    call item{std::move(request), {}, {}, {}, std::move(respond)};
+    item.target = parse_target(item.request.target);
+    if (item.request.body.size() >
+        static_cast<std::size_t>(values_.max_body_bytes))
+    {
+        item.respond(make_reply({result_code::body_too_large,
+                                 "the body has " +
+                                     std::to_string(item.request.body.size()) +
+                                     " bytes; allowed: " +
+                                     std::to_string(values_.max_body_bytes)}));
+        return;
+    }
+    failure why{result_code::not_found, "no such path"};
+    for (const auto& candidate : routes())
+    {
+        auto values = match_path(candidate.path, item.target);
+        if (!values)
+        {
+            continue;
+        }
+        if (candidate.method != item.request.method)
+        {
+            why = {result_code::method_not_allowed,
+                   "the path does not support " + item.request.method};
+            continue;
+        }
+        item.values = std::move(*values);
+        if (!candidate.operators_only || authorize(item))
+        {
+            (this->*candidate.handle)(item);
+        }
+        return;
+    }
+    item.respond(make_reply(why));
+}
+
+std::optional<std::string> api::operator_of(const http_request& request) const
+{
+    std::string_view given = request.authorization;
+    if (!given.starts_with(bearer))
+    {
+        return std::nullopt;
+    }
+    given.remove_prefix(bearer.size());
+    for (const auto& account : values_.operators)
+    {
+        if (equal_secret(given, account.token))
+        {
+            return account.name;
+        }
+    }
+    return std::nullopt;
+}
+
+bool api::authorize(call& item)
+{
+    auto name = operator_of(item.request);
+    if (name)
+    {
+        item.operator_name = std::move(*name);
+        return true;
+    }
+    log_line(log_level::warning,
+             "entry",
+             "refused operator call without a valid token",
+             {{"method", item.request.method}, {"path", item.request.target}});
+    item.respond(make_reply({result_code::unauthorized,
+                             "the call needs the token of an operator"}));
+    return false;
+}
+
+std::optional<time_point> api::wait_until(call& item) const
+{
+    const auto value = query_number(item.target, "wait_until", 0);
+    if (!value)
+    {
+        item.respond(make_reply({result_code::bad_request,
+                                 "wait_until: found " +
+                                     item.target.query.at("wait_until") +
+                                     "; allowed: Unix time in milliseconds"}));
+        return std::nullopt;
+    }
+    if (*value == 0)
+    {
+        return now_();
+    }
+    return clock_.from_unix(static_cast<std::int64_t>(*value));
+}
+
+void api::record(const job_reply& reply)
+{
+    if (reply.error || !is_final(reply.item.outcome.state))
+    {
+        return;
+    }
+    job_sample sample;
+    sample.customer = reply.item.request.customer;
+    sample.kind = reply.item.request.kind;
+    sample.zone = reply.item.zone;
+    sample.code = reply.item.outcome.code;
+    sample.completion = now_() - reply.item.accepted;
+    metrics_.record(sample);
+}
+
+void api::submit(call& item)
+{
+    const auto until = wait_until(item);
+    if (!until)
+    {
+        return;
+    }
+    failure why;
+    auto request = read_job(item.request.body, clock_, why);
+    if (!request)
+    {
+        item.respond(make_reply(why));
+        return;
+    }
+    control_.submit(
+        std::move(*request),
+        *until,
+        [this, respond = std::move(item.respond)](const job_reply& reply)
+        {
+            record(reply);
+            respond(job_response(reply, clock_));
+        });
+}
+
+void api::get_job(call& item)
+{
+    const auto until = wait_until(item);
+    if (!until)
+    {
+        return;
+    }
+    control_.get_job(
+        item.values[0],
+        item.values[1],
+        *until,
+        [this, respond = std::move(item.respond)](const job_reply& reply)
+        { respond(job_response(reply, clock_)); });
+}
+
+void api::cancel_job(call& item)
+{
+    control_.cancel_job(
+        item.values[0],
+        item.values[1],
+        [this, respond = std::move(item.respond)](const job_reply& reply)
+        { respond(job_response(reply, clock_)); });
+}
+
+void api::apply_sheet(call& item)
+{
+    const auto version = query_number(item.target, "expected_version", 0);
+    if (!version)
+    {
+        item.respond(make_reply(
+            {result_code::bad_request, "expected_version: no number"}));
+        return;
+    }
+    failure why;
+    auto plan = parse_sheet(item.request.body, "sheet", why);
+    if (!plan)
+    {
+        item.respond(make_reply(why));
+        return;
+    }
+    const auto current = control_.config().version;
+    if (*version != 0 && *version != current)
+    {
+        item.respond(make_reply({result_code::conflict,
+                                 "the configuration has version " +
+                                     std::to_string(current) + ", changed by " +
+                                     control_.config().changed_by}));
+        return;
+    }
+    if (item.target.query.count("dry_run") != 0)
+    {
+        change_reply unchanged;
+        unchanged.version = current;
+        item.respond(change_response(unchanged));
+        return;
+    }
+    control_.apply_sheet(
+        std::move(*plan),
+        *version,
+        item.operator_name,
+        [respond = std::move(item.respond)](const change_reply& reply)
+        { respond(change_response(reply)); });
+}
+
+void api::zone_out(call& item)
+{
+    set_zone(item, zone_state::out);
+}
+
+void api::zone_back(call& item)
+{
+    set_zone(item, zone_state::open);
+}
+
+void api::set_zone(call& item, zone_state target)
+{
+    log_line(log_level::info,
+             "entry",
+             target == zone_state::out ? "operator takes zone out of service"
+                                       : "operator brings zone back",
+             {{"zone", item.values[0]}, {"operator", item.operator_name}});
+    control_.set_zone(
+        item.values[0],
+        target,
+        item.operator_name,
+        [respond = std::move(item.respond)](const change_reply& reply)
+        { respond(change_response(reply)); });
+}
+
+void api::show_jobs(call& item)
+{
+    control_.zone_statuses([respond = std::move(item.respond)](
+                               const std::vector<zone_status>& zones)
+                           { respond(jobs_response(zones)); });
+}
+
+void api::show_zones(call& item)
+{
+    control_.zone_statuses(
+        [this, respond = std::move(item.respond)](
+            const std::vector<zone_status>& zones)
+        { respond(zones_response(zones, control_.config())); });
+}
+
+void api::show_servers(call& item)
+{
+    control_.zone_statuses([respond = std::move(item.respond)](
+                               const std::vector<zone_status>& zones)
+                           { respond(servers_response(zones)); });
+}
+
+void api::show_customers(call& item)
+{
+    control_.zone_statuses([respond = std::move(item.respond)](
+                               const std::vector<zone_status>& zones)
+                           { respond(customers_response(zones)); });
+}
+
+void api::show_vms(call& item)
+{
+    item.respond(vms_response(control_.vms()));
+}
+
+void api::show_config(call& item)
+{
+    Json::Value body;
+    body["config"] = to_json(control_.config());
+    item.respond(make_reply({}, std::move(body)));
+}
+
+void api::show_metrics(call& item)
+{
+    metrics_.set_gauge("poplarramp_config_version",
+                       values_.zone,
+                       static_cast<double>(control_.config().version));
+    http_response response;
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = metrics_.prometheus();
+    item.respond(std::move(response));
+}
+
+void api::show_health(call& item)
+{
+    Json::Value body;
+    body["vm"] = values_.vm;
+    body["zone"] = values_.zone;
+    body["config_version"] =
+        static_cast<Json::UInt64>(control_.config().version);
+    const failure state =
+        stopping_ ? failure{result_code::vm_stopping, "the VM is stopping"}
+                  : failure{};
+    item.respond(make_reply(state, std::move(body)));
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/entry/api.hpp
@@ -0,0 +1,90 @@
+// HTTP API for callers and operators.
+#ifndef POPLARRAMP_ENTRY_API_HPP
+#define POPLARRAMP_ENTRY_API_HPP
+
+#include "base/time.hpp"
+#include "config/settings.hpp"
+#include "control/controller.hpp"
+#include "http/message.hpp"
+#include "report/metrics.hpp"
+
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace poplarramp
+{
+
+struct api_settings
+{
+    std::string vm;
+    std::string zone;
+    std::vector<operator_account> operators;
+    int max_body_bytes = 1048576;
+};
+
+// Not thread safe; used on the control thread only. Must outlive every request
+// it was given.
+class api
+{
+public:
+    using responder = std::function<void(http_response)>;
+
+    api(controller& control,
+        api_settings values,
+        clock_mapping clock,
+        std::function<time_point()> now);
+
+    // Answers one request; `respond` is called exactly once.
+    void handle(http_request request, responder respond);
+
+    // Puts reloaded operators and limits in force.
+    void update(api_settings values);
+
+    // From now on `GET /health` tells load balancers to go elsewhere.
+    void begin_stop();
+
+private:
+    struct call;
+    struct route;
+    static std::span<const route> routes();
+
+    // Name of the operator whose token the request carries.
+    std::optional<std::string> operator_of(const http_request& request) const;
+
+    // Fills `call.operator_name`, or answers that the token is wrong.
+    bool authorize(call& item);
+
+    void submit(call& item);
+    void get_job(call& item);
+    void cancel_job(call& item);
+    void apply_sheet(call& item);
+    void zone_out(call& item);
+    void zone_back(call& item);
+    void set_zone(call& item, zone_state target);
+    void show_jobs(call& item);
+    void show_zones(call& item);
+    void show_servers(call& item);
+    void show_customers(call& item);
+    void show_vms(call& item);
+    void show_config(call& item);
+    void show_metrics(call& item);
+    void show_health(call& item);
+
+    // Time of "wait_until"; now if it is absent. Answers if it is wrong.
+    std::optional<time_point> wait_until(call& item) const;
+    void record(const job_reply& reply);
+
+    controller& control_;
+    api_settings values_;
+    clock_mapping clock_;
+    std::function<time_point()> now_;
+    metrics metrics_;
+    bool stopping_ = false;
+};
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/entry/replies.hpp
@@ -0,0 +1,48 @@
+// Replies of the HTTP API as JSON. Every reply has "code", "result" and, on
+// errors, "reason".
+#ifndef POPLARRAMP_ENTRY_REPLIES_HPP
+#define POPLARRAMP_ENTRY_REPLIES_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+#include "control/controller.hpp"
+#include "http/message.hpp"
+#include "inner/peer_api.hpp"
+
+#include <json/value.h>
+
+#include <span>
+
+namespace poplarramp
+{
+
+// All functions are thread safe.
+
+// HTTP status for a result code, listed in docs/result-codes.md.
+int http_status(result_code code);
+
+// Code of a job on its way or at its end: `pending` until it has ended.
+result_code code_of_job(const job& item);
+
+// `body` with "code", "result" and "reason" added.
+http_response make_reply(const failure& result,
+                         Json::Value body = Json::Value(Json::objectValue));
+
+// The status is 200 for every job that has ended, however it ended, and 202
+// for one that has not, so that it says whether this call succeeded.
+http_response job_response(const job_reply& reply, const clock_mapping& clock);
+
+http_response change_response(const change_reply& reply);
+
+// Lists put the rows under one member and the availability zones whose
+// scheduler did not answer under "incomplete".
+http_response zones_response(std::span<const zone_status> zones,
+                             const configuration& config);
+http_response servers_response(std::span<const zone_status> zones);
+http_response customers_response(std::span<const zone_status> zones);
+http_response jobs_response(std::span<const zone_status> zones);
+http_response vms_response(std::span<const vm_row> vms);
+
+} // namespace poplarramp
+
+#endif
