Add HTTP client and server, adapters and stand-ins

Cause: the control code reaches callers, the platform and backend servers only through hooks, and nothing implemented these hooks yet.

Ruled out: timeouts of beast::tcp_stream on the server side, because they close the socket and a slow client would get no reason; refusing pipelined requests, because serving them one at a time in order is valid HTTP and needs no extra code.

Change: src/http has a client with kept connections per address and a server, both on Asio coroutines; src/limits has backoff, retry budget and circuit breaker; src/platform and src/backend have the HTTP/JSON adapters; tests/standin is the binary poplarramp-standin with the subcommands platform and backend. http_request gets `content_type` and `safe`.

--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,134 @@
+#include "http/client.hpp"
+
+#include "http/destination.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <map>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// Longest time that a call may take; bounds `no_deadline`, whose conversion to
+// the clock's nanoseconds would overflow.
+constexpr milliseconds max_call_time = std::chrono::hours(1);
+
+// Addresses change as VMs are replaced. Beyond this number, addresses without
+// calls for `forget_after` are dropped.
+constexpr std::size_t max_unused_addresses = 1024;
+constexpr milliseconds forget_after{60000};
+
+struct known_address
+{
+    std::shared_ptr<detail::destination> pool;
+    time_point last_call{};
+};
+
+} // namespace
+
+// Members are used on the control thread only.
+struct http_client::state : std::enable_shared_from_this<http_client::state>
+{
+    state(asio::io_context& traffic_context,
+          asio::io_context& control_context,
+          http_client_settings client_settings)
+        : traffic(traffic_context), control(control_context),
+          settings(client_settings)
+    {
+    }
+
+    std::shared_ptr<detail::destination> pool_of(const std::string& address);
+    void forget_unused(time_point now);
+    void call(const std::string& address,
+              http_request request,
+              time_point deadline,
+              std::function<void(http_reply)> done);
+
+    asio::io_context& traffic;
+    asio::io_context& control;
+    const http_client_settings settings;
+    std::map<std::string, known_address> addresses;
+};
+
+std::shared_ptr<detail::destination>
+http_client::state::pool_of(const std::string& address)
+{
+    const auto now = monotonic_now();
+    if (addresses.size() >= max_unused_addresses)
+    {
+        forget_unused(now);
+    }
+    auto& known = addresses[address];
+    if (!known.pool)
+    {
+        known.pool =
+            std::make_shared<detail::destination>(traffic, address, settings);
+    }
+    known.last_call = now;
+    return known.pool;
+}
+
+void http_client::state::forget_unused(time_point now)
+{
+    std::erase_if(addresses,
+                  [now](const auto& entry)
+                  {
+                      const auto& known = entry.second;
+                      return known.pool.use_count() == 1 &&
+                             now - known.last_call > forget_after;
+                  });
+}
+
+void http_client::state::call(const std::string& address,
+                              http_request request,
+                              time_point deadline,
+                              std::function<void(http_reply)> done)
+{
+    const auto pool = pool_of(address);
+    const auto limit = std::min(deadline, monotonic_now() + max_call_time);
+    asio::co_spawn(pool->strand(),
+                   pool->call(std::move(request), limit),
+                   [self = shared_from_this(), pool, done = std::move(done)](
+                       const std::exception_ptr& error, http_reply reply)
+                   {
+                       if (error)
+                       {
+                           reply.error = {result_code::answer_lost,
+                                          "the call ended with an exception"};
+                       }
+                       asio::post(self->control,
+                                  [done, reply = std::move(reply)]
+                                  { done(reply); });
+                   });
+}
+
+http_client::http_client(asio::io_context& traffic,
+                         asio::io_context& control,
+                         http_client_settings settings)
+    : state_(std::make_shared<state>(traffic, control, settings))
+{
+}
+
+http_client::~http_client() = default;
+
+http_caller http_client::caller() const
+{
+    return [self = state_](std::string address,
+                           http_request request,
+                           time_point deadline,
+                           std::function<void(http_reply)> done)
+    {
+        self->call(address, std::move(request), deadline, std::move(done));
+    };
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/http/client.hpp
@@ -0,0 +1,71 @@
+// HTTP client with kept connections and a deadline on every call.
+#ifndef POPLARRAMP_HTTP_CLIENT_HPP
+#define POPLARRAMP_HTTP_CLIENT_HPP
+
+#include "base/time.hpp"
+#include "http/message.hpp"
+#include "limits/backoff.hpp"
+#include "limits/retry_budget.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace poplarramp
+{
+
+struct http_client_settings
+{
+    // Per address; further calls wait for a connection until their deadline.
+    std::size_t max_connections = 4;
+    // Must be shorter than the server's idle limit, else a request may meet a
+    // connection that the server is closing.
+    milliseconds idle_limit{20000};
+    std::uint64_t max_reply_bytes = 16 * 1024 * 1024;
+    // After a failure to connect, calls to the address wait this long, or fail
+    // at once if their deadline is earlier.
+    backoff_settings connect_backoff;
+    retry_budget_settings repeats;
+};
+
+// Calls run on the traffic context; completions are posted to the control
+// context. A call fails with
+// - `unreachable` if the whole request was never sent, so the server cannot
+//   have handled it;
+// - `timeout` if no whole reply came by the deadline;
+// - `answer_lost` if the connection ended, or the reply was not valid HTTP or
+//   too large, after the request was sent.
+//
+// A request is sent a second time only if a kept connection failed before any
+// byte of the reply, and the request is safe or was not wholly sent.
+//
+// The traffic context must be destroyed after the control context, whose
+// pending functions own connections. Both must be stopped, or outlive the
+// client.
+class http_client
+{
+public:
+    http_client(boost::asio::io_context& traffic,
+                boost::asio::io_context& control,
+                http_client_settings settings = {});
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    // Hook for callers, valid after the client is destroyed. To be called on
+    // the control thread only.
+    http_caller caller() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/http/connection.cpp
@@ -0,0 +1,386 @@
+#include "http/connection.hpp"
+
+#include "http/json_reply.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace poplarramp::detail
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+
+// Repeats the cancellation: one that falls between two reads of a composed
+// operation has no effect.
+constexpr milliseconds cancel_interval{20};
+
+// How long, and for how many bytes, a connection that is being closed waits for
+// the peer. Closing with unread input resets the connection, and the peer could
+// lose the reply.
+constexpr milliseconds close_limit{500};
+constexpr std::size_t close_read_bytes = 1024 * 1024;
+
+constexpr std::size_t read_bytes = 16 * 1024;
+constexpr int http_1_1 = 11;
+
+constexpr std::array<std::string_view, 4> served_methods{
+    "GET", "POST", "PUT", "DELETE"};
+
+bool is_served(std::string_view method)
+{
+    return std::find(served_methods.begin(), served_methods.end(), method) !=
+           served_methods.end();
+}
+
+http_response error_response(int status, failure error)
+{
+    auto response = json_response(error);
+    response.status = status;
+    return response;
+}
+
+// Reply to input that is not a valid request; nothing if the peer is gone.
+std::optional<http_response> response_to(error_code error,
+                                         const http_server_settings& settings)
+{
+    if (error == http::error::header_limit)
+    {
+        return error_response(431,
+                              {result_code::bad_request,
+                               "header is longer than " +
+                                   std::to_string(settings.max_header_bytes) +
+                                   " bytes"});
+    }
+    if (error == http::error::body_limit)
+    {
+        return error_response(413,
+                              {result_code::body_too_large,
+                               "body is longer than " +
+                                   std::to_string(settings.max_body_bytes) +
+                                   " bytes"});
+    }
+    if (error == http::error::partial_message)
+    {
+        return error_response(
+            400, {result_code::bad_request, "request is truncated"});
+    }
+    if (error.category() == make_error_code(http::error::bad_method).category())
+    {
+        return error_response(
+            400,
+            {result_code::bad_request, "not valid HTTP: " + error.message()});
+    }
+    return std::nullopt;
+}
+
+template <class Message>
+http_request to_request(Message& message)
+{
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.authorization = std::string(message[http::field::authorization]);
+    request.content_type = std::string(message[http::field::content_type]);
+    request.body = std::move(message.body());
+    return request;
+}
+
+// Why a well-formed request is not served.
+std::optional<http_response> refusal_of(const http_request& request)
+{
+    if (!is_served(request.method))
+    {
+        return json_response({result_code::method_not_allowed,
+                              "method " + request.method + " is not served"});
+    }
+    if (request.target.empty() || request.target.front() != '/')
+    {
+        return json_response(
+            {result_code::bad_request, "target does not start with /"});
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+connection::connection(asio::ip::tcp::socket socket,
+                       const http_server_settings& settings,
+                       http_handler dispatch)
+    : socket_(std::move(socket)), limit_timer_(socket_.get_executor()),
+      response_timer_(socket_.get_executor()), settings_(settings),
+      dispatch_(std::move(dispatch))
+{
+}
+
+asio::ip::tcp::socket::executor_type connection::executor()
+{
+    return socket_.get_executor();
+}
+
+asio::awaitable<void> connection::run()
+{
+    const auto self = shared_from_this();
+    error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    while (true)
+    {
+        const bool arrived = co_await wait_for_request();
+        if (!arrived)
+        {
+            break;
+        }
+        parser input;
+        const bool complete = co_await read_request(input);
+        if (!complete)
+        {
+            break;
+        }
+        const bool keep = input.get().keep_alive();
+        auto response = co_await handle(to_request(input.get()));
+        const bool kept = co_await write(std::move(response), keep);
+        if (!kept)
+        {
+            break;
+        }
+    }
+    socket_.close(ignored);
+    disarm();
+}
+
+asio::awaitable<void> connection::refuse(failure error)
+{
+    const auto self = shared_from_this();
+    co_await write(json_response(error), false);
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+void connection::begin_stop()
+{
+    stopping_ = true;
+    if (idle_)
+    {
+        arm(settings_.stop_grace);
+    }
+}
+
+asio::awaitable<bool> connection::wait_for_request()
+{
+    if (buffer_.size() > 0)
+    {
+        co_return true;
+    }
+    idle_ = true;
+    arm(stopping_ ? settings_.stop_grace : settings_.idle_limit);
+    error_code error;
+    const auto count = co_await socket_.async_read_some(
+        buffer_.prepare(read_bytes),
+        asio::redirect_error(asio::use_awaitable, error));
+    buffer_.commit(count);
+    disarm();
+    idle_ = false;
+    co_return !error;
+}
+
+asio::awaitable<bool> connection::read_request(parser& input)
+{
+    input.header_limit(settings_.max_header_bytes);
+    input.body_limit(settings_.max_body_bytes);
+    const bool header = co_await read_header(input);
+    if (!header)
+    {
+        co_return false;
+    }
+    const bool body = co_await read_body(input);
+    co_return body;
+}
+
+asio::awaitable<bool> connection::read_header(parser& input)
+{
+    error_code error;
+    arm(settings_.header_limit);
+    co_await http::async_read_header(
+        socket_,
+        buffer_,
+        input,
+        asio::redirect_error(asio::use_awaitable, error));
+    disarm();
+    if (error)
+    {
+        co_await answer_broken(error);
+    }
+    co_return !error;
+}
+
+asio::awaitable<bool> connection::read_body(parser& input)
+{
+    if (input.is_done())
+    {
+        co_return true;
+    }
+    if (input.get()[http::field::expect] == "100-continue")
+    {
+        co_await write_continue();
+    }
+    error_code error;
+    arm(settings_.body_limit);
+    co_await http::async_read(socket_,
+                              buffer_,
+                              input,
+                              asio::redirect_error(asio::use_awaitable, error));
+    disarm();
+    if (error)
+    {
+        co_await answer_broken(error);
+    }
+    co_return !error;
+}
+
+asio::awaitable<void> connection::answer_broken(error_code error)
+{
+    auto response = response_to(error, settings_);
+    if (limit_passed_)
+    {
+        response =
+            error_response(408,
+                           {result_code::bad_request,
+                            "the request did not arrive within the time limit "
+                            "and was not handled"});
+    }
+    if (response)
+    {
+        co_await write(std::move(*response), false);
+    }
+}
+
+asio::awaitable<http_response> connection::handle(http_request request)
+{
+    if (auto refusal = refusal_of(request))
+    {
+        co_return std::move(*refusal);
+    }
+    response_.reset();
+    const auto number = ++request_number_;
+    response_timer_.expires_at(asio::steady_timer::time_point::max());
+    dispatch_(std::move(request),
+              [self = shared_from_this(), number](http_response response)
+              {
+                  asio::post(self->executor(),
+                             [self, number, answer = std::move(response)]
+                             {
+                                 if (number == self->request_number_)
+                                 {
+                                     self->response_ = answer;
+                                     self->response_timer_.cancel();
+                                 }
+                             });
+              });
+    while (!response_)
+    {
+        error_code ignored;
+        co_await response_timer_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    ++request_number_;
+    co_return std::move(*response_);
+}
+
+asio::awaitable<bool> connection::write(http_response response, bool keep)
+{
+    constexpr int first_status = 200;
+    constexpr int last_status = 599;
+    if (response.status < first_status || response.status > last_status)
+    {
+        co_return false;
+    }
+    http::response<http::string_body> message;
+    message.version(http_1_1);
+    message.result(static_cast<unsigned>(response.status));
+    message.set(http::field::content_type, response.content_type);
+    message.body() = std::move(response.body);
+    const bool stay = keep && !stopping_;
+    message.keep_alive(stay);
+    message.prepare_payload();
+    error_code error;
+    arm(settings_.write_limit);
+    co_await http::async_write(
+        socket_, message, asio::redirect_error(asio::use_awaitable, error));
+    disarm();
+    if (error)
+    {
+        co_return false;
+    }
+    if (!stay)
+    {
+        co_await close_after_peer();
+    }
+    co_return stay;
+}
+
+asio::awaitable<void> connection::write_continue()
+{
+    http::response<http::empty_body> message(http::status::continue_, http_1_1);
+    error_code ignored;
+    arm(settings_.write_limit);
+    co_await http::async_write(
+        socket_, message, asio::redirect_error(asio::use_awaitable, ignored));
+    disarm();
+}
+
+asio::awaitable<void> connection::close_after_peer()
+{
+    error_code error;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    std::array<char, read_bytes> discarded{};
+    std::size_t total = 0;
+    arm(close_limit);
+    while (!error && total < close_read_bytes && !limit_passed_)
+    {
+        total += co_await socket_.async_read_some(
+            asio::buffer(discarded),
+            asio::redirect_error(asio::use_awaitable, error));
+    }
+    disarm();
+}
+
+void connection::arm(milliseconds limit)
+{
+    limit_passed_ = false;
+    const auto number = ++limit_number_;
+    limit_timer_.expires_after(limit);
+    limit_timer_.async_wait(
+        [self = shared_from_this(), number](error_code error)
+        {
+            if (error || number != self->limit_number_)
+            {
+                return;
+            }
+            error_code ignored;
+            self->socket_.cancel(ignored);
+            self->arm(cancel_interval);
+            self->limit_passed_ = true;
+        });
+}
+
+void connection::disarm()
+{
+    ++limit_number_;
+    limit_timer_.cancel();
+}
+
+} // namespace poplarramp::detail
--- /dev/null
+++ b/src/http/connection.hpp
@@ -0,0 +1,82 @@
+// One accepted connection. Private to src/http.
+#ifndef POPLARRAMP_HTTP_CONNECTION_HPP
+#define POPLARRAMP_HTTP_CONNECTION_HPP
+
+#include "http/server.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace poplarramp::detail
+{
+
+// Runs on the strand that its socket was made with; only `respond` functions
+// may be called from other threads.
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+    // `dispatch` is called on the strand.
+    connection(boost::asio::ip::tcp::socket socket,
+               const http_server_settings& settings,
+               http_handler dispatch);
+
+    // Serves requests until the peer closes, an error or a stop.
+    boost::asio::awaitable<void> run();
+
+    // Answers one error without reading a request, and closes.
+    boost::asio::awaitable<void> refuse(failure error);
+
+    // Ends the connection after the request in flight, or after the grace time
+    // if there is none.
+    void begin_stop();
+
+    boost::asio::ip::tcp::socket::executor_type executor();
+
+private:
+    using parser =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    boost::asio::awaitable<bool> wait_for_request();
+    boost::asio::awaitable<bool> read_request(parser& input);
+    boost::asio::awaitable<bool> read_header(parser& input);
+    boost::asio::awaitable<bool> read_body(parser& input);
+    boost::asio::awaitable<void> answer_broken(boost::system::error_code error);
+    boost::asio::awaitable<http_response> handle(http_request request);
+    boost::asio::awaitable<bool> write(http_response response, bool keep);
+    boost::asio::awaitable<void> write_continue();
+    boost::asio::awaitable<void> close_after_peer();
+
+    // Cancels the operations of the socket after a time, until disarmed.
+    void arm(milliseconds limit);
+    void disarm();
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer limit_timer_;
+    boost::asio::steady_timer response_timer_;
+    boost::beast::flat_buffer buffer_;
+    http_server_settings settings_;
+    http_handler dispatch_;
+    std::optional<http_response> response_;
+    // Number of the request in flight; a `respond` of an earlier one is
+    // ignored.
+    std::uint64_t request_number_ = 0;
+    // Changes with each limit, so that a late timer does nothing.
+    std::uint64_t limit_number_ = 0;
+    bool limit_passed_ = false;
+    bool idle_ = false;
+    bool stopping_ = false;
+};
+
+} // namespace poplarramp::detail
+
+#endif
--- /dev/null
+++ b/src/http/destination.hpp
@@ -0,0 +1,115 @@
+// Kept connections to one address. Private to src/http.
+#ifndef POPLARRAMP_HTTP_DESTINATION_HPP
+#define POPLARRAMP_HTTP_DESTINATION_HPP
+
+#include "http/client.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace poplarramp::detail
+{
+
+// Established connection without a request in flight.
+struct kept_connection
+{
+    explicit kept_connection(boost::beast::tcp_stream connected)
+        : stream(std::move(connected))
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    time_point kept_since{};
+};
+
+using kept_connection_ptr = std::unique_ptr<kept_connection>;
+
+// Outcome of one attempt on one connection.
+struct exchange_result
+{
+    http_reply reply;
+    bool wholly_sent = false;
+    bool reply_started = false;
+    bool keep = false;
+};
+
+// Members are used on `strand` only.
+class destination : public std::enable_shared_from_this<destination>
+{
+public:
+    destination(boost::asio::io_context& traffic,
+                std::string address,
+                const http_client_settings& settings);
+
+    // Runs one call. The reply is ready at the deadline at the latest.
+    boost::asio::awaitable<http_reply> call(http_request request,
+                                            time_point deadline);
+
+    const boost::asio::strand<boost::asio::io_context::executor_type>&
+    strand() const
+    {
+        return strand_;
+    }
+
+private:
+    // A call that waits for one of the bounded connections.
+    struct waiter
+    {
+        boost::asio::steady_timer timer;
+        bool granted = false;
+    };
+
+    boost::asio::awaitable<bool> take_slot(time_point deadline);
+    void give_slot_back();
+    boost::asio::awaitable<http_reply> call_in_slot(http_request request,
+                                                    time_point deadline);
+    kept_connection_ptr take_kept();
+    void keep(kept_connection_ptr item);
+    void close_kept();
+    void start_idle_timer();
+    void close_idle();
+    boost::asio::awaitable<kept_connection_ptr> connect(time_point deadline,
+                                                        failure& why);
+    boost::asio::awaitable<bool> wait_backoff(time_point deadline);
+    void on_connect_failure();
+    boost::asio::awaitable<exchange_result>
+    exchange(kept_connection& item,
+             const http_request& request,
+             time_point deadline);
+    boost::asio::awaitable<void> receive(kept_connection& item,
+                                         exchange_result& result);
+
+    boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+    const std::string address_;
+    const std::optional<boost::asio::ip::tcp::endpoint> endpoint_;
+    const http_client_settings settings_;
+    std::size_t busy_ = 0;
+    // Oldest first. Never more than the limit together with `busy_`.
+    std::deque<kept_connection_ptr> kept_;
+    std::deque<std::shared_ptr<waiter>> waiters_;
+    boost::asio::steady_timer idle_timer_;
+    backoff connect_backoff_;
+    time_point connect_after_{};
+    retry_budget repeats_;
+    std::mt19937_64 random_;
+};
+
+// Endpoint of "ip:port" or "[ip]:port".
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_address(const std::string& address);
+
+} // namespace poplarramp::detail
+
+#endif
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -19,10 +19,16 @@
     std::string body;
     // Value of the Authorization header; empty: none.
     std::string authorization;
+    std::string content_type = "application/json";
+    // Handling the request twice does the same as handling it once, so the
+    // client may send it again. Not on the wire.
+    bool safe = false;
 };
 
 struct http_response
 {
+    // From 200 to 599. With any other status the server closes the connection
+    // without a reply.
     int status = 200;
     std::string body;
     std::string content_type = "application/json";
--- /dev/null
+++ b/src/limits/backoff.hpp
@@ -0,0 +1,47 @@
+// Exponential backoff with jitter.
+#ifndef POPLARRAMP_LIMITS_BACKOFF_HPP
+#define POPLARRAMP_LIMITS_BACKOFF_HPP
+
+#include "base/time.hpp"
+
+#include <cstdint>
+
+namespace poplarramp
+{
+
+struct backoff_settings
+{
+    // Upper end of the first delay; it doubles with each failure.
+    milliseconds first{50};
+    milliseconds longest{1000};
+};
+
+// Delays between attempts. Not thread safe; owns no clock and no random source.
+class backoff
+{
+public:
+    explicit backoff(backoff_settings settings = {}) : settings_(settings)
+    {
+    }
+
+    // Counts a failure and returns the delay before the next attempt: evenly
+    // distributed over the upper half of the current interval, so that clients
+    // that failed together do not return together. `random` is 64 random bits.
+    milliseconds next(std::uint64_t random);
+
+    // Call after a success.
+    void reset();
+
+    int failures() const
+    {
+        return failures_;
+    }
+
+private:
+    backoff_settings settings_;
+    int failures_ = 0;
+};
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/platform/http_platform.cpp
@@ -0,0 +1,417 @@
+#include "platform/http_platform.hpp"
+
+#include "base/log.hpp"
+#include "http/json_reply.hpp"
+#include "model/codec.hpp"
+#include "platform/platform_codec.hpp"
+
+#include <cctype>
+#include <memory>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// Whether a call may be the one that tries a failing service again.
+enum class probing
+{
+    allowed,
+    refused,
+};
+
+// What the caller is told about a call that failed in this way.
+failure as_store_failure(const failure& error)
+{
+    if (error.code == result_code::unreachable)
+    {
+        return {result_code::store_unavailable, "not sent: " + error.reason};
+    }
+    return error;
+}
+
+// True if the failure says that the service does not work, not that it refused
+// one request.
+bool is_outage(const failure& error)
+{
+    switch (error.code)
+    {
+    case result_code::store_unavailable:
+    case result_code::timeout:
+    case result_code::unreachable:
+    case result_code::internal_error:
+    case result_code::answer_lost:
+        return true;
+    default:
+        return false;
+    }
+}
+
+// One service of the platform with its circuit breaker.
+class service : public std::enable_shared_from_this<service>
+{
+public:
+    service(std::string name,
+            const http_platform_settings& settings,
+            http_platform_hooks hooks)
+        : name_(std::move(name)), address_(settings.address),
+          hooks_(std::move(hooks)), breaker_(settings.breaker)
+    {
+    }
+
+    // `done` gets the reply with the failure that its caller is to see.
+    void call(http_request request,
+              probing may_probe,
+              time_point deadline,
+              std::function<void(http_reply)> done)
+    {
+        if (!breaker_.allow(hooks_.now(), may_probe == probing::allowed))
+        {
+            refuse(std::move(done));
+            return;
+        }
+        hooks_.call(address_,
+                    std::move(request),
+                    deadline,
+                    [self = shared_from_this(),
+                     done = std::move(done)](http_reply reply)
+                    {
+                        self->note_outcome(reply);
+                        reply.error = as_store_failure(reply.error);
+                        done(std::move(reply));
+                    });
+    }
+
+private:
+    void refuse(std::function<void(http_reply)> done)
+    {
+        hooks_.post(
+            [name = name_, done = std::move(done)]
+            {
+                done({{result_code::circuit_open,
+                       "not sent: calls to the " + name + " are failing"},
+                      {}});
+            });
+    }
+
+    void note_outcome(const http_reply& reply)
+    {
+        failure error = reply.error;
+        if (!error && reply.response.status >= first_server_error)
+        {
+            json_reply_of(reply, error);
+        }
+        const auto before = breaker_.state(hooks_.now());
+        if (is_outage(error))
+        {
+            breaker_.on_failure(hooks_.now());
+        }
+        else
+        {
+            breaker_.on_success();
+        }
+        log_change(before, error);
+    }
+
+    void log_change(circuit_state before, const failure& error)
+    {
+        const auto after = breaker_.state(hooks_.now());
+        if (after == circuit_state::open && before == circuit_state::closed)
+        {
+            log_line(log_level::warning,
+                     "store",
+                     "calls are failing, circuit opened",
+                     {{"service", name_}, {"reason", error.reason}});
+        }
+        if (after == circuit_state::closed && before != circuit_state::closed)
+        {
+            log_line(log_level::info,
+                     "store",
+                     "calls work again, circuit closed",
+                     {{"service", name_}});
+        }
+    }
+
+    static constexpr int first_server_error = 500;
+
+    const std::string name_;
+    const std::string address_;
+    const http_platform_hooks hooks_;
+    circuit_breaker breaker_;
+};
+
+using service_ptr = std::shared_ptr<service>;
+
+http_request post_request(std::string target, const Json::Value& body)
+{
+    http_request request;
+    request.target = std::move(target);
+    request.body = json_text(body);
+    return request;
+}
+
+http_request get_request(std::string target)
+{
+    http_request request;
+    request.method = "GET";
+    request.target = std::move(target);
+    request.safe = true;
+    return request;
+}
+
+// The service handled the request, but its reply cannot be understood.
+failure as_answer_lost(const failure& why)
+{
+    return {result_code::answer_lost, "reply not understood: " + why.reason};
+}
+
+// Decodes a reply with `decode`; on failure returns nothing and fills `why`.
+template <class Decode>
+auto decoded(const http_reply& reply, failure& why, const Decode& decode)
+    -> decltype(decode(Json::Value(), why))
+{
+    const auto json = json_reply_of(reply, why);
+    if (!json)
+    {
+        return std::nullopt;
+    }
+    auto value = decode(*json, why);
+    if (!value)
+    {
+        why = as_answer_lost(why);
+    }
+    return value;
+}
+
+void read_row(const service_ptr& target,
+              const std::string& key,
+              time_point deadline,
+              const std::function<void(table_read_reply)>& done)
+{
+    Json::Value body;
+    body["key"] = key;
+    auto request = post_request("/v1/table/read", body);
+    request.safe = true;
+    target->call(std::move(request),
+                 probing::allowed,
+                 deadline,
+                 [done](const http_reply& reply)
+                 {
+                     table_read_reply result;
+                     auto row =
+                         decoded(reply, result.error, table_row_from_json);
+                     if (row)
+                     {
+                         result.row = std::move(*row);
+                     }
+                     done(std::move(result));
+                 });
+}
+
+void write_rows(const service_ptr& target,
+                const std::vector<table_change>& changes,
+                time_point deadline,
+                const std::function<void(table_write_reply)>& done)
+{
+    Json::Value body;
+    body["changes"] = to_json(changes);
+    target->call(
+        post_request("/v1/table/write", body),
+        probing::refused,
+        deadline,
+        [done, count = changes.size()](const http_reply& reply)
+        {
+            table_write_reply result;
+            auto versions = decoded(reply, result.error, versions_from_json);
+            if (versions && versions->size() != count)
+            {
+                result.error = as_answer_lost(
+                    {result_code::bad_request, "wrong number of versions"});
+            }
+            else if (versions)
+            {
+                result.versions = std::move(*versions);
+            }
+            done(std::move(result));
+        });
+}
+
+void scan_rows(const service_ptr& target,
+               const std::string& prefix,
+               const std::string& after,
+               int limit,
+               time_point deadline,
+               const std::function<void(table_scan_reply)>& done)
+{
+    Json::Value body;
+    body["prefix"] = prefix;
+    body["after"] = after;
+    body["limit"] = limit;
+    auto request = post_request("/v1/table/scan", body);
+    request.safe = true;
+    target->call(std::move(request),
+                 probing::allowed,
+                 deadline,
+                 [done](const http_reply& reply)
+                 {
+                     failure why;
+                     auto page = decoded(reply, why, scan_from_json);
+                     auto result = page ? std::move(*page) : table_scan_reply{};
+                     result.error = why;
+                     done(std::move(result));
+                 });
+}
+
+void put_object(const service_ptr& target,
+                const std::string& key,
+                std::string content,
+                time_point deadline,
+                const std::function<void(failure)>& done)
+{
+    http_request request;
+    request.method = "PUT";
+    request.target = "/v1/objects/" + percent_encoded(key);
+    request.content_type = "application/octet-stream";
+    request.body = std::move(content);
+    // The same key and content again changes nothing.
+    request.safe = true;
+    target->call(std::move(request),
+                 probing::allowed,
+                 deadline,
+                 [done](const http_reply& reply)
+                 {
+                     failure why;
+                     json_reply_of(reply, why);
+                     done(why);
+                 });
+}
+
+void get_object(const service_ptr& target,
+                const std::string& key,
+                time_point deadline,
+                const std::function<void(object_reply)>& done)
+{
+    constexpr int status_ok = 200;
+    target->call(get_request("/v1/objects/" + percent_encoded(key)),
+                 probing::allowed,
+                 deadline,
+                 [done](http_reply reply)
+                 {
+                     object_reply result;
+                     result.error = reply.error;
+                     if (reply.error)
+                     {
+                         done(std::move(result));
+                         return;
+                     }
+                     if (reply.response.status == status_ok)
+                     {
+                         result.content = std::move(reply.response.body);
+                     }
+                     else if (json_reply_of(reply, result.error))
+                     {
+                         result.error = as_answer_lost(
+                             {result_code::ok, "no content in the reply"});
+                     }
+                     done(std::move(result));
+                 });
+}
+
+void read_members(const service_ptr& target,
+                  time_point deadline,
+                  const std::function<void(member_list_reply)>& done)
+{
+    target->call(get_request("/v1/members"),
+                 probing::allowed,
+                 deadline,
+                 [done](const http_reply& reply)
+                 {
+                     member_list_reply result;
+                     auto members =
+                         decoded(reply, result.error, members_from_json);
+                     if (members)
+                     {
+                         result.members = std::move(*members);
+                     }
+                     done(std::move(result));
+                 });
+}
+
+table make_table(const service_ptr& target)
+{
+    table hooks;
+    hooks.read = [target](std::string key, time_point deadline, auto done)
+    {
+        read_row(target, key, deadline, done);
+    };
+    hooks.write = [target](std::vector<table_change> changes,
+                           time_point deadline,
+                           auto done)
+    {
+        write_rows(target, changes, deadline, done);
+    };
+    hooks.scan = [target](std::string prefix,
+                          std::string after,
+                          int limit,
+                          time_point deadline,
+                          auto done)
+    {
+        scan_rows(target, prefix, after, limit, deadline, done);
+    };
+    return hooks;
+}
+
+} // namespace
+
+std::string percent_encoded(const std::string& text)
+{
+    constexpr std::string_view plain = "-._~";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const unsigned char c : text)
+    {
+        if (std::isalnum(c) != 0 ||
+            plain.find(static_cast<char>(c)) != std::string_view::npos)
+        {
+            encoded += static_cast<char>(c);
+            continue;
+        }
+        encoded += '%';
+        encoded += digits[c / digits.size()];
+        encoded += digits[c % digits.size()];
+    }
+    return encoded;
+}
+
+http_platform make_http_platform(const http_platform_settings& settings,
+                                 const http_platform_hooks& hooks)
+{
+    const auto objects =
+        std::make_shared<service>("object store", settings, hooks);
+    const auto members =
+        std::make_shared<service>("member list", settings, hooks);
+    http_platform made;
+    made.store =
+        make_table(std::make_shared<service>("table", settings, hooks));
+    made.objects.put = [objects](std::string key,
+                                 std::string content,
+                                 time_point deadline,
+                                 auto done)
+    {
+        put_object(objects, key, std::move(content), deadline, done);
+    };
+    made.objects.get =
+        [objects](std::string key, time_point deadline, auto done)
+    {
+        get_object(objects, key, deadline, done);
+    };
+    made.members.read = [members](time_point deadline, auto done)
+    {
+        read_members(members, deadline, done);
+    };
+    return made;
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/platform/http_platform.hpp
@@ -0,0 +1,59 @@
+// The platform's services over HTTP/JSON.
+#ifndef POPLARRAMP_PLATFORM_HTTP_PLATFORM_HPP
+#define POPLARRAMP_PLATFORM_HTTP_PLATFORM_HPP
+
+#include "base/time.hpp"
+#include "http/message.hpp"
+#include "limits/circuit_breaker.hpp"
+#include "platform/member_list.hpp"
+#include "platform/object_store.hpp"
+#include "platform/table.hpp"
+
+#include <functional>
+#include <string>
+
+namespace poplarramp
+{
+
+struct http_platform_settings
+{
+    // "ip:port".
+    std::string address;
+    circuit_breaker_settings breaker;
+};
+
+struct http_platform_hooks
+{
+    http_caller call;
+    std::function<time_point()> now;
+    // Runs a function later on the control thread; carries refusals of an open
+    // circuit, which must not call back before the hook returns.
+    std::function<void(std::function<void()>)> post;
+};
+
+struct http_platform
+{
+    table store;
+    object_store objects;
+    member_list members;
+};
+
+// Hooks that own what they need; used on the control thread only. The table,
+// the object store and the member list have one circuit breaker each. Errors:
+// - `circuit_open`: not sent, because calls have been failing;
+// - `store_unavailable`: not sent, or refused by the platform without effect;
+// - `timeout`, `answer_lost`: sent, and a write may have taken effect.
+//
+// While a circuit recovers, table writes are refused with `circuit_open` and
+// only reads probe, so that no probe leaves a write whose outcome is unknown.
+// The reads of the configuration each second keep the probes going.
+http_platform make_http_platform(const http_platform_settings& settings,
+                                 const http_platform_hooks& hooks);
+
+// `text` with every byte but letters, digits, '-', '.', '_' and '~' written as
+// %XX, for use in one segment of a path. Thread safe.
+std::string percent_encoded(const std::string& text);
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/tests/standin/host.cpp
@@ -0,0 +1,117 @@
+#include "standin/host.hpp"
+
+#include "http/server.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace poplarramp::standin
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr int traffic_thread_count = 2;
+
+// Objects in the object store and lists of tasks are larger than callers'
+// requests.
+constexpr std::uint64_t max_body_bytes = 16 * 1024 * 1024;
+
+// Held requests would keep a planned stop from ending.
+constexpr milliseconds stop_limit{3000};
+
+} // namespace
+
+struct host::state
+{
+    state() : signals(control, SIGTERM, SIGINT), clock(control)
+    {
+    }
+
+    void stop()
+    {
+        clock.after(stop_limit, [this] { control.stop(); });
+        left = servers.size();
+        for (const auto& server : servers)
+        {
+            server->stop(
+                [this]
+                {
+                    if (--left == 0)
+                    {
+                        control.stop();
+                    }
+                });
+        }
+    }
+
+    // Destroyed last: what waits on the control context owns connections.
+    asio::io_context traffic;
+    asio::io_context control;
+    asio::signal_set signals;
+    timers clock;
+    std::vector<std::unique_ptr<http_server>> servers;
+    std::size_t left = 0;
+};
+
+host::host() : state_(std::make_unique<state>())
+{
+}
+
+host::~host() = default;
+
+timers& host::clock()
+{
+    return state_->clock;
+}
+
+bool host::serve(std::uint16_t port, http_handler handler, failure& why)
+{
+    http_server_settings settings;
+    settings.port = port;
+    settings.max_body_bytes = max_body_bytes;
+    auto server = std::make_unique<http_server>(
+        state_->traffic, state_->control, settings, std::move(handler));
+    if (!server->listen(why))
+    {
+        return false;
+    }
+    std::cout << "listening 127.0.0.1:" << server->port() << std::endl;
+    state_->servers.push_back(std::move(server));
+    return true;
+}
+
+void host::run()
+{
+    const auto guard = asio::make_work_guard(state_->traffic);
+    std::vector<std::thread> threads;
+    for (int i = 0; i < traffic_thread_count; ++i)
+    {
+        threads.emplace_back([this] { state_->traffic.run(); });
+    }
+    state_->signals.async_wait(
+        [this](boost::system::error_code error, int)
+        {
+            if (!error)
+            {
+                state_->stop();
+            }
+        });
+    state_->control.run();
+    state_->traffic.stop();
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+}
+
+} // namespace poplarramp::standin
--- /dev/null
+++ b/tests/standin/platform.hpp
@@ -0,0 +1,58 @@
+// Stand-in for the platform: transactional table, object store, member list.
+#ifndef POPLARRAMP_STANDIN_PLATFORM_HPP
+#define POPLARRAMP_STANDIN_PLATFORM_HPP
+
+#include "http/message.hpp"
+#include "platform/platform_codec.hpp"
+#include "standin/timers.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace poplarramp::standin
+{
+
+struct platform_settings
+{
+    std::vector<vm_member> members;
+    // Age of the member list that is served after a change.
+    milliseconds members_lag{0};
+};
+
+// Not thread safe; used on the control thread.
+class platform
+{
+public:
+    platform(platform_settings settings, timers& clock);
+
+    // Handles the platform's messages, and these for tests: POST /v1/members
+    // replaces the members, GET /v1/counts returns the numbers of calls.
+    void handle(const http_request& request,
+                const std::function<void(http_response)>& respond);
+
+private:
+    http_response answer(const http_request& request);
+    http_response post(const http_request& request);
+    http_response read(const Json::Value& body);
+    http_response write(const Json::Value& body);
+    http_response scan(const Json::Value& body);
+    http_response set_members(const Json::Value& body);
+    http_response object(const http_request& request);
+    http_response members() const;
+    http_response counts() const;
+
+    timers& clock_;
+    platform_settings settings_;
+    std::vector<vm_member> members_;
+    std::map<std::string, table_row> rows_;
+    std::map<std::string, std::string> objects_;
+    std::map<std::string, std::uint64_t> counts_;
+    // Versions are never used twice, so that a removed and inserted row does
+    // not match an old version.
+    std::uint64_t last_version_ = 0;
+};
+
+} // namespace poplarramp::standin
+
+#endif
--- /dev/null
+++ b/tests/standin/task_book.hpp
@@ -0,0 +1,129 @@
+// Tasks of one backend server: reservations, runs and events.
+#ifndef POPLARRAMP_STANDIN_TASK_BOOK_HPP
+#define POPLARRAMP_STANDIN_TASK_BOOK_HPP
+
+#include "backend/backend_api.hpp"
+#include "standin/timers.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace poplarramp::standin
+{
+
+struct usage
+{
+    int accelerators = 0;
+    int slots = 0;
+
+    bool operator==(const usage&) const = default;
+};
+
+// A start of a task, for tests.
+struct start_record
+{
+    std::string task_id;
+    time_point when{};
+};
+
+// Not thread safe; used on the control thread.
+class task_book
+{
+public:
+    task_book(usage capacity, timers& clock, std::function<void()> on_event);
+
+    // All calls with the id of a known task answer its state.
+    task_reply prepare(const task& item, time_point commit_deadline);
+    task_reply commit(const std::string& id);
+    task_reply start(const task& item);
+    // Ends the task, after the checkpoint time if asked for and possible.
+    task_reply stop(const std::string& id, bool checkpoint);
+    // Runs the rest of the task at a percentage of the full speed.
+    task_reply throttle(const std::string& id, int percent);
+
+    // Stops every running task that may be stopped.
+    void stop_orphans();
+
+    // Forgets events up to the sequence and the tasks that they ended.
+    void acknowledge(std::uint64_t sequence);
+    const std::deque<task_event>& events() const
+    {
+        return events_;
+    }
+    std::vector<task_status> statuses() const;
+
+    usage in_use() const;
+    // Number of times that a task of each job has begun to run; a gang counts
+    // once.
+    const std::map<std::string, int>& runs() const
+    {
+        return runs_;
+    }
+    const std::deque<start_record>& starts() const
+    {
+        return starts_;
+    }
+
+    // Tasks that start from now on fail at once.
+    void set_fail_tasks(bool fail)
+    {
+        fail_tasks_ = fail;
+    }
+
+    // Loses all tasks and events, as a restart does; keeps the counts.
+    void forget_all();
+
+private:
+    struct known_task
+    {
+        task_status status;
+        time_point ends = no_deadline;
+        int percent = 100;
+        // Changes with each planned end, so that an earlier timer does nothing.
+        std::uint64_t plan = 0;
+        // Sequence of the event that ended it.
+        std::uint64_t ended_by = 0;
+    };
+
+    // What the payload asks the task to do.
+    struct script
+    {
+        milliseconds run{50};
+        std::string answer;
+        bool fail = false;
+    };
+
+    static script script_of(const task& item);
+    static bool is_active(const known_task& known);
+    std::optional<task_reply> known_reply(const std::string& id) const;
+    failure room_for(const task& item) const;
+    known_task& add(const task& item, task_state state);
+    void run(known_task& known);
+    void finish(known_task& known);
+    void plan_end(known_task& known, time_point when);
+    void end(known_task& known, task_state state, std::string reason);
+    void remember(const std::string& id, task_state state);
+    std::uint64_t next_plan();
+
+    const usage capacity_;
+    timers& clock_;
+    const std::function<void()> on_event_;
+    std::map<std::string, known_task> tasks_;
+    // States of acknowledged tasks, so that a late start does not run again.
+    std::map<std::string, task_state> ended_;
+    std::deque<std::string> ended_order_;
+    std::deque<task_event> events_;
+    std::uint64_t last_sequence_ = 0;
+    std::uint64_t last_plan_ = 0;
+    std::map<std::string, int> runs_;
+    std::deque<start_record> starts_;
+    bool fail_tasks_ = false;
+};
+
+} // namespace poplarramp::standin
+
+#endif
