Add the inner protocol between entry VMs

The heartbeat names the scheduler of the sender's zone: an entry VM of another zone hears one or two senders a second and cannot compute the scheduler itself.

--- /dev/null
+++ b/src/inner/message_codec.hpp
@@ -0,0 +1,39 @@
+// JSON form of the messages between entry VMs.
+#ifndef POPLARRAMP_INNER_MESSAGE_CODEC_HPP
+#define POPLARRAMP_INNER_MESSAGE_CODEC_HPP
+
+#include "inner/peer_api.hpp"
+
+#include <json/value.h>
+
+#include <optional>
+
+namespace poplarramp
+{
+
+// All functions are thread safe. A decoder returns nothing and fills `why` with
+// `bad_request` and the path of the first wrong member.
+
+// "code" and "reason". A code that is not known is read as `internal_error`.
+void write_failure(Json::Value& json, const failure& error);
+bool read_failure(const Json::Value& json, failure& error, failure& why);
+
+Json::Value to_json(const provisional_closing& closing);
+Json::Value to_json(const heartbeat& message);
+Json::Value to_json(const job_status_reply& reply);
+Json::Value to_json(const zone_status& status);
+
+// `bad_request` also for a closing without an availability zone and for a
+// heartbeat without id or incarnation, which could not be matched to a VM.
+std::optional<provisional_closing>
+provisional_closing_from_json(const Json::Value& json, failure& why);
+std::optional<heartbeat> heartbeat_from_json(const Json::Value& json,
+                                             failure& why);
+std::optional<job_status_reply>
+job_status_reply_from_json(const Json::Value& json, failure& why);
+std::optional<zone_status> zone_status_from_json(const Json::Value& json,
+                                                 failure& why);
+
+} // namespace poplarramp
+
+#endif
--- a/src/inner/peer_api.hpp
+++ b/src/inner/peer_api.hpp
@@ -36,6 +36,11 @@
     bool leaving = false;
     std::uint64_t config_version = 0;
     std::vector<provisional_closing> closings;
+    // Scheduler of the sender's own availability zone as the sender sees it,
+    // and its inner address; empty if there is none. An entry VM of another
+    // availability zone hears only a few senders, too few to compute it.
+    std::string scheduler;
+    std::string scheduler_address;
 };
 
 struct heartbeat_reply
