--- /dev/null
+++ b/src/control/config_gate.cpp
@@ -0,0 +1,42 @@
+#include "control/config_gate.hpp"
+
+namespace poplarramp
+{
+
+namespace
+{
+
+constexpr milliseconds longest_tick_gap{250};
+
+bool is_recent(time_point now, time_point confirmed_at)
+{
+    return now - confirmed_at < max_view_age;
+}
+
+} // namespace
+
+bool config_gate::passes(time_point now, time_point confirmed_at) const
+{
+    if (is_recent(now, confirmed_at))
+    {
+        return true;
+    }
+    return stale_since_ && now - last_tick_ <= longest_tick_gap &&
+           now - *stale_since_ >= longest_refresh_wait;
+}
+
+void config_gate::tick(time_point now, time_point confirmed_at)
+{
+    const bool paused = now - last_tick_ > longest_tick_gap;
+    last_tick_ = now;
+    if (is_recent(now, confirmed_at))
+    {
+        stale_since_.reset();
+    }
+    else if (!stale_since_ || paused)
+    {
+        stale_since_ = now;
+    }
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/control/job_rows.cpp
@@ -0,0 +1,418 @@
+#include "control/job_rows.hpp"
+
+#include "model/codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+constexpr milliseconds table_deadline{2000};
+constexpr milliseconds record_retry{500};
+// An attempt holds accelerators while its record waits for the table.
+constexpr milliseconds record_within{4000};
+constexpr milliseconds first_finish_retry{250};
+constexpr milliseconds longest_finish_retry{8000};
+// Bounds the load on the table when it comes back after an outage.
+constexpr int most_finish_calls = 32;
+
+std::string job_key(std::string_view id)
+{
+    return "job/" + std::string(id);
+}
+
+bool contains(std::span<const attempt_record> records,
+              const attempt_record& wanted)
+{
+    return std::any_of(records.begin(),
+                       records.end(),
+                       [&wanted](const attempt_record& record)
+                       {
+                           return record.number == wanted.number &&
+                                  record.server == wanted.server &&
+                                  record.incarnation == wanted.incarnation &&
+                                  record.epoch == wanted.epoch;
+                       });
+}
+
+} // namespace
+
+struct job_rows::record_call
+{
+    std::string id;
+    std::vector<attempt_record> attempts;
+    int not_run_up_to = 0;
+    std::function<void(record_result, job_row_view)> done;
+    time_point give_up{};
+    time_point next_try{};
+    bool in_flight = false;
+    // What the last write would make of the row.
+    job_row_view written;
+};
+
+struct job_rows::finish_call
+{
+    job item;
+    std::function<void()> delayed;
+    std::function<void(const job&)> done;
+    milliseconds backoff = first_finish_retry;
+    time_point next_try{};
+    bool in_flight = false;
+};
+
+std::vector<attempt_record> open_attempts(const job& item)
+{
+    const int last = last_attempt(item);
+    std::vector<attempt_record> open;
+    for (const auto& record : item.attempts)
+    {
+        if (record.number == last && record.note != note_not_run)
+        {
+            open.push_back(record);
+        }
+    }
+    return open;
+}
+
+int last_attempt(const job& item)
+{
+    int last = 0;
+    for (const auto& record : item.attempts)
+    {
+        last = std::max(last, record.number);
+    }
+    return last;
+}
+
+job_rows::job_rows(std::string zone,
+                   table store,
+                   clock_mapping clock,
+                   std::function<time_point()> now)
+    : zone_(std::move(zone)), store_(std::move(store)), clock_(clock),
+      now_(std::move(now))
+{
+}
+
+std::string job_rows::open_key(std::string_view id) const
+{
+    return "open/" + zone_ + "/" + std::string(id);
+}
+
+job_row_view job_rows::view_of(const table_read_reply& reply) const
+{
+    job_row_view view;
+    view.error = reply.error;
+    view.version = reply.row.version;
+    if (view.error || view.version == 0)
+    {
+        return view;
+    }
+    const auto json = parse_json(reply.row.value, view.error);
+    if (json)
+    {
+        view.item = job_from_json(*json, clock_, view.error);
+    }
+    return view;
+}
+
+void job_rows::read(const std::string& id,
+                    std::function<void(job_row_view)> done)
+{
+    store_.read(job_key(id),
+                now_() + table_deadline,
+                [this,
+                 alive = std::weak_ptr<char>(alive_),
+                 done = std::move(done)](const table_read_reply& reply)
+                {
+                    if (!alive.expired())
+                    {
+                        done(view_of(reply));
+                    }
+                });
+}
+
+void job_rows::record(const std::string& id,
+                      std::vector<attempt_record> attempts,
+                      int not_run_up_to,
+                      std::function<void(record_result, job_row_view)> done)
+{
+    auto call = std::make_shared<record_call>();
+    call->id = id;
+    call->attempts = std::move(attempts);
+    call->not_run_up_to = not_run_up_to;
+    call->done = std::move(done);
+    call->give_up = now_() + record_within;
+    recording_.push_back(call);
+    try_record(call);
+}
+
+void job_rows::try_record(const std::shared_ptr<record_call>& call)
+{
+    call->in_flight = true;
+    read(call->id,
+         [this, call](const job_row_view& view)
+         { on_record_read(call, view); });
+}
+
+// Reads before each write, which also settles an earlier write whose answer was
+// lost: the row then holds these attempts.
+void job_rows::on_record_read(const std::shared_ptr<record_call>& call,
+                              const job_row_view& view)
+{
+    if (view.error)
+    {
+        call->in_flight = false;
+        call->next_try = now_() + record_retry;
+        return;
+    }
+    if (!view.item)
+    {
+        end_record(call, record_result::missing, view);
+        return;
+    }
+    if (is_final(view.item->outcome.state))
+    {
+        end_record(call, record_result::already_final, view);
+        return;
+    }
+    if (contains(view.item->attempts, call->attempts.front()))
+    {
+        end_record(call, record_result::recorded, view);
+        return;
+    }
+    job changed = *view.item;
+    for (auto& record : changed.attempts)
+    {
+        if (record.note == note_not_run)
+        {
+            continue;
+        }
+        if (record.number > call->not_run_up_to)
+        {
+            end_record(call, record_result::foreign_attempt, view);
+            return;
+        }
+        record.note = note_not_run;
+    }
+    changed.attempts.insert(
+        changed.attempts.end(), call->attempts.begin(), call->attempts.end());
+    changed.outcome.state = job_state::starting;
+    call->written.item = changed;
+    store_.write({{job_key(call->id),
+                   json_text(to_json(changed, clock_)),
+                   view.version,
+                   false}},
+                 now_() + table_deadline,
+                 [this, alive = std::weak_ptr<char>(alive_), call](
+                     const table_write_reply& reply)
+                 {
+                     if (!alive.expired())
+                     {
+                         on_record_written(call, reply);
+                     }
+                 });
+}
+
+void job_rows::on_record_written(const std::shared_ptr<record_call>& call,
+                                 const table_write_reply& reply)
+{
+    if (!reply.error)
+    {
+        end_record(call, record_result::recorded, call->written);
+        return;
+    }
+    const bool conflict = reply.error.code == result_code::conflict;
+    call->in_flight = false;
+    call->next_try = now_() + (conflict ? milliseconds(0) : record_retry);
+}
+
+void job_rows::end_record(const std::shared_ptr<record_call>& call,
+                          record_result result,
+                          const job_row_view& view)
+{
+    std::erase(recording_, call);
+    call->done(result, view);
+}
+
+void job_rows::finish(const job& item,
+                      std::function<void()> delayed,
+                      std::function<void(const job&)> done)
+{
+    auto& call = finishing_[job_id(item.request)];
+    if (call)
+    {
+        return;
+    }
+    call = std::make_shared<finish_call>();
+    call->item = item;
+    call->delayed = std::move(delayed);
+    call->done = std::move(done);
+    if (writes_in_flight_ < most_finish_calls)
+    {
+        const auto started = call;
+        try_finish(started);
+    }
+}
+
+void job_rows::try_finish(const std::shared_ptr<finish_call>& call)
+{
+    call->in_flight = true;
+    ++writes_in_flight_;
+    read(job_id(call->item.request),
+         [this, call](const job_row_view& view)
+         { on_finish_read(call, view); });
+}
+
+void job_rows::on_finish_read(const std::shared_ptr<finish_call>& call,
+                              const job_row_view& view)
+{
+    if (view.error)
+    {
+        retry_finish(call);
+        return;
+    }
+    if (view.item && is_final(view.item->outcome.state))
+    {
+        end_finish(call, *view.item);
+        return;
+    }
+    store_.read(open_key(job_id(call->item.request)),
+                now_() + table_deadline,
+                [this, alive = std::weak_ptr<char>(alive_), call, view](
+                    const table_read_reply& reply)
+                {
+                    if (alive.expired())
+                    {
+                        return;
+                    }
+                    if (reply.error)
+                    {
+                        retry_finish(call);
+                        return;
+                    }
+                    write_final(call, view, reply.row.version);
+                });
+}
+
+void job_rows::write_final(const std::shared_ptr<finish_call>& call,
+                           const job_row_view& view,
+                           std::uint64_t open_version)
+{
+    job final_row = view.item ? *view.item : call->item;
+    final_row.outcome = call->item.outcome;
+    final_row.durable = true;
+    const auto id = job_id(call->item.request);
+    std::vector<table_change> changes{{job_key(id),
+                                       json_text(to_json(final_row, clock_)),
+                                       view.version,
+                                       false}};
+    if (open_version != 0)
+    {
+        changes.push_back({open_key(id), {}, open_version, true});
+    }
+    store_.write(std::move(changes),
+                 now_() + table_deadline,
+                 [this, alive = std::weak_ptr<char>(alive_), call, final_row](
+                     const table_write_reply& reply)
+                 {
+                     if (alive.expired())
+                     {
+                         return;
+                     }
+                     if (reply.error)
+                     {
+                         retry_finish(call);
+                         return;
+                     }
+                     end_finish(call, final_row);
+                 });
+}
+
+void job_rows::retry_finish(const std::shared_ptr<finish_call>& call)
+{
+    call->in_flight = false;
+    --writes_in_flight_;
+    call->next_try = now_() + call->backoff;
+    call->backoff = std::min(call->backoff * 2, longest_finish_retry);
+    if (auto delayed = std::exchange(call->delayed, nullptr))
+    {
+        delayed();
+    }
+}
+
+void job_rows::end_finish(const std::shared_ptr<finish_call>& call,
+                          const job& item)
+{
+    --writes_in_flight_;
+    finishing_.erase(job_id(call->item.request));
+    call->done(item);
+}
+
+void job_rows::scan(
+    const std::string& after,
+    int limit,
+    std::function<void(const failure&, std::vector<std::string>, std::string)>
+        done)
+{
+    const auto prefix = open_key({});
+    store_.scan(prefix,
+                after,
+                limit,
+                now_() + table_deadline,
+                [alive = std::weak_ptr<char>(alive_),
+                 prefix,
+                 done = std::move(done)](const table_scan_reply& reply)
+                {
+                    if (alive.expired())
+                    {
+                        return;
+                    }
+                    std::vector<std::string> ids;
+                    for (const auto& row : reply.rows)
+                    {
+                        ids.push_back(row.key.substr(prefix.size()));
+                    }
+                    done(reply.error, std::move(ids), reply.next);
+                });
+}
+
+std::size_t job_rows::unwritten() const
+{
+    return finishing_.size();
+}
+
+void job_rows::tick()
+{
+    const auto now = now_();
+    const auto records = recording_;
+    for (const auto& call : records)
+    {
+        if (call->in_flight || now < call->next_try)
+        {
+            continue;
+        }
+        if (now >= call->give_up)
+        {
+            end_record(call, record_result::unavailable, {});
+            continue;
+        }
+        try_record(call);
+    }
+    for (const auto& [id, call] : finishing_)
+    {
+        if (writes_in_flight_ >= most_finish_calls)
+        {
+            return;
+        }
+        if (!call->in_flight && now >= call->next_try)
+        {
+            try_finish(call);
+        }
+    }
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/control/job_rows.hpp
@@ -0,0 +1,132 @@
+// Rows of accepted jobs in the platform's table: attempt records before a
+// start, the final row with the removal from the index of open jobs, and the
+// scan of that index.
+#ifndef POPLARRAMP_CONTROL_JOB_ROWS_HPP
+#define POPLARRAMP_CONTROL_JOB_ROWS_HPP
+
+#include "base/time.hpp"
+#include "model/job.hpp"
+#include "platform/table.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplarramp
+{
+
+// `attempt_record::note` of an attempt that is proved not to have run.
+constexpr std::string_view note_not_run = "not_run";
+
+// Row of a job as it was read.
+struct job_row_view
+{
+    failure error;
+    // Absent without an error: there is no row.
+    std::optional<job> item;
+    std::uint64_t version = 0;
+};
+
+enum class record_result
+{
+    recorded,
+    // The job has ended; the view holds the outcome.
+    already_final,
+    // The row has an attempt of another scheduler that may have run.
+    foreign_attempt,
+    // There is no row, although an attempt needs one.
+    missing,
+    // Not recorded within the time allowed. A lost write may still take
+    // effect; it then only shows an attempt that was not started.
+    unavailable,
+};
+
+// Attempts that may have run, which are those of the highest number unless they
+// are noted as not run.
+std::vector<attempt_record> open_attempts(const job& item);
+
+int last_attempt(const job& item);
+
+// Not thread safe; used on the control thread only. Replies that arrive after
+// destruction are dropped.
+class job_rows
+{
+public:
+    job_rows(std::string zone,
+             table store,
+             clock_mapping clock,
+             std::function<time_point()> now);
+
+    void read(const std::string& id, std::function<void(job_row_view)> done);
+
+    // Adds `attempts`, which have one number, to the row and notes earlier ones
+    // up to number `not_run_up_to` as not run. `done` gets the row as written
+    // or found.
+    void record(const std::string& id,
+                std::vector<attempt_record> attempts,
+                int not_run_up_to,
+                std::function<void(record_result, job_row_view)> done);
+
+    // Writes the final row of `item` and removes it from the index, again and
+    // again until the row is final. `done` gets the outcome in the row: the
+    // first final outcome stays. `delayed` is called once if the first try
+    // fails.
+    void finish(const job& item,
+                std::function<void()> delayed,
+                std::function<void(const job& item)> done);
+
+    // One page of the index: job ids after `after`, and where to go on.
+    void scan(const std::string& after,
+              int limit,
+              std::function<void(const failure& error,
+                                 std::vector<std::string> ids,
+                                 std::string next)> done);
+
+    // Final rows that are not written yet.
+    std::size_t unwritten() const;
+
+    // Sends what waits for a retry.
+    void tick();
+
+private:
+    struct record_call;
+    struct finish_call;
+
+    std::string open_key(std::string_view id) const;
+    job_row_view view_of(const table_read_reply& reply) const;
+    void try_record(const std::shared_ptr<record_call>& call);
+    void on_record_read(const std::shared_ptr<record_call>& call,
+                        const job_row_view& view);
+    void on_record_written(const std::shared_ptr<record_call>& call,
+                           const table_write_reply& reply);
+    void end_record(const std::shared_ptr<record_call>& call,
+                    record_result result,
+                    const job_row_view& view);
+    void try_finish(const std::shared_ptr<finish_call>& call);
+    void on_finish_read(const std::shared_ptr<finish_call>& call,
+                        const job_row_view& view);
+    void write_final(const std::shared_ptr<finish_call>& call,
+                     const job_row_view& view,
+                     std::uint64_t open_version);
+    void retry_finish(const std::shared_ptr<finish_call>& call);
+    void end_finish(const std::shared_ptr<finish_call>& call, const job& item);
+
+    std::string zone_;
+    table store_;
+    clock_mapping clock_;
+    std::function<time_point()> now_;
+    std::map<std::string, std::shared_ptr<finish_call>> finishing_;
+    std::vector<std::shared_ptr<record_call>> recording_;
+    int writes_in_flight_ = 0;
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
+};
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/control/zone_attempts.cpp
@@ -0,0 +1,367 @@
+#include "control/zone_core.hpp"
+
+#include "base/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarramp::detail
+{
+
+namespace
+{
+
+// Failed attempts of an idempotent job before it counts as failed.
+constexpr int most_failures = 3;
+constexpr milliseconds table_down_wait{2000};
+constexpr milliseconds first_refusal_wait{250};
+constexpr int most_refusal_doublings = 4;
+
+} // namespace
+
+// Another scheduler may have ended the job while it was queued here; that can
+// only be if a server was claimed since the row was last seen. While the table
+// is down the start goes ahead.
+void zone_core::check_row(const job_ptr& entry)
+{
+    if (!entry->item.durable || entry->checked_at_claim == claims)
+    {
+        try_start(entry);
+        return;
+    }
+    entry->phase = job_phase::checking;
+    rows.read(entry->id,
+              [this, entry, serial = entry->serial, seen = claims](
+                  const job_row_view& view)
+              {
+                  if (entry->serial != serial)
+                  {
+                      return;
+                  }
+                  if (view.item && is_final(view.item->outcome.state))
+                  {
+                      row_is_final(entry, *view.item);
+                      return;
+                  }
+                  if (!view.error)
+                  {
+                      entry->checked_at_claim = seen;
+                  }
+                  try_start(entry);
+              });
+}
+
+void zone_core::record_attempt(const job_ptr& entry)
+{
+    entry->tokens.clear();
+    std::vector<attempt_record> records;
+    for (const auto& part : entry->parts)
+    {
+        const auto token = leases.may_place(part.server);
+        if (!token)
+        {
+            abandon(entry);
+            return;
+        }
+        entry->tokens.push_back(*token);
+        records.push_back({entry->attempt,
+                           part.server,
+                           token->incarnation,
+                           token->epoch,
+                           {}});
+    }
+    entry->phase = job_phase::recording;
+    rows.record(entry->id,
+                std::move(records),
+                entry->not_run_up_to,
+                [this, entry, serial = entry->serial](record_result result,
+                                                      const job_row_view& view)
+                {
+                    if (entry->serial == serial)
+                    {
+                        on_recorded(entry, result, view);
+                    }
+                });
+}
+
+void zone_core::on_recorded(const job_ptr& entry,
+                            record_result result,
+                            const job_row_view& view)
+{
+    switch (result)
+    {
+    case record_result::recorded:
+        entry->item.attempts = view.item->attempts;
+        try_start(entry);
+        return;
+    case record_result::already_final:
+        row_is_final(entry, *view.item);
+        return;
+    case record_result::foreign_attempt:
+        ++entry->serial;
+        withdraw(entry);
+        entry->item.attempts = view.item->attempts;
+        entry->phase = job_phase::held;
+        entry->row_seen = true;
+        resolve_held(entry);
+        return;
+    case record_result::missing:
+    case record_result::unavailable:
+        entry->not_run_up_to = entry->attempt;
+        defer(entry, table_down_wait);
+        return;
+    }
+}
+
+// The last check before the first call of the attempt.
+void zone_core::try_start(const job_ptr& entry)
+{
+    entry->phase = job_phase::gated;
+    bool may_place = open;
+    for (std::size_t i = 0; i < entry->parts.size(); ++i)
+    {
+        const auto token = leases.may_place(entry->parts[i].server);
+        const bool as_recorded =
+            entry->item.idempotent ||
+            (token && token->epoch == entry->tokens[i].epoch &&
+             token->incarnation == entry->tokens[i].incarnation);
+        may_place = may_place && token && as_recorded;
+    }
+    if (!may_place)
+    {
+        abandon(entry);
+        return;
+    }
+    if (!gate.passes(now(), hooks.config_confirmed_at()))
+    {
+        return;
+    }
+    entry->phase = job_phase::running;
+    entry->run = make_run(entry);
+    entry->run->begin(entry->parts);
+    run_changed(entry);
+}
+
+void zone_core::abandon(const job_ptr& entry)
+{
+    ++entry->serial;
+    entry->not_run_up_to = entry->attempt;
+    requeue(entry, {});
+}
+
+std::shared_ptr<task_run> zone_core::make_run(const job_ptr& entry)
+{
+    run_hooks run;
+    run.leases = &leases;
+    run.backend = &hooks.backend;
+    run.now = hooks.now;
+    run.may_start = [this]
+    {
+        return active && open &&
+               gate.passes(now(), hooks.config_confirmed_at());
+    };
+    run.changed = [this, weak = std::weak_ptr<zone_job>(entry)]
+    {
+        if (const auto locked = weak.lock())
+        {
+            run_changed(locked);
+            decide();
+        }
+    };
+    return std::make_shared<task_run>(
+        entry->item, entry->attempt, std::move(run));
+}
+
+void zone_core::run_changed(const job_ptr& entry)
+{
+    if (entry->phase != job_phase::running || !entry->run)
+    {
+        return;
+    }
+    const auto run = entry->run;
+    if (entry->cancel_requested && !run->stopping())
+    {
+        run->stop(false, now());
+    }
+    const auto how = run->end();
+    if (how != run_end::none)
+    {
+        run_ended(entry, how);
+        return;
+    }
+    if (entry->started || !run->all_started())
+    {
+        return;
+    }
+    entry->started = true;
+    entry->refusals = 0;
+    if (entry->placed)
+    {
+        policy->on_started(entry->id, now());
+        return;
+    }
+    entry->parts.clear();
+    for (const auto& part : run->parts())
+    {
+        entry->parts.push_back({part.server, part.accelerators});
+    }
+    policy->adopt(entry->item, entry->parts, now());
+    entry->placed = true;
+}
+
+void zone_core::run_ended(const job_ptr& entry, run_end how)
+{
+    auto marks = entry->run->take_marks();
+    entry->marks.insert(entry->marks.end(), marks.begin(), marks.end());
+    switch (how)
+    {
+    case run_end::none:
+        return;
+    case run_end::done:
+    {
+        const auto& answer = entry->run->answer();
+        job_outcome outcome{job_state::done,
+                            result_code::ok,
+                            answer.reason,
+                            answer.answer,
+                            answer.answer_object};
+        leave_policy(entry, true);
+        finish(entry, std::move(outcome), true);
+        return;
+    }
+    case run_end::failed:
+        run_failed(entry);
+        return;
+    case run_end::stopped:
+        run_stopped(entry);
+        return;
+    case run_end::never:
+        run_never_started(entry);
+        return;
+    case run_end::lost:
+        run_lost(entry);
+        return;
+    }
+}
+
+void zone_core::run_never_started(const job_ptr& entry)
+{
+    entry->not_run_up_to = entry->attempt;
+    const auto fault = entry->run->fault_server();
+    if (entry->cancel_requested)
+    {
+        withdraw(entry);
+        conclude(entry, {result_code::cancelled, "cancelled before it ran"});
+        return;
+    }
+    requeue(entry, fault);
+    if (entry->phase == job_phase::queued && ++entry->refusals > 1)
+    {
+        const int doublings =
+            std::min(entry->refusals - 2, most_refusal_doublings);
+        defer(entry, first_refusal_wait * (1 << doublings));
+    }
+}
+
+void zone_core::run_stopped(const job_ptr& entry)
+{
+    entry->ran = true;
+    if (entry->cancel_requested)
+    {
+        leave_policy(entry, true);
+        finish(entry,
+               {job_state::cancelled,
+                result_code::cancelled,
+                "stopped while it ran",
+                {},
+                {}},
+               true);
+        return;
+    }
+    if (entry->item.idempotent)
+    {
+        requeue(entry, entry->run->fault_server());
+        return;
+    }
+    leave_policy(entry, false);
+    finish(entry,
+           {job_state::failed,
+            result_code::job_failed,
+            "stopped while it ran; it must not run twice",
+            {},
+            {}},
+           true);
+}
+
+void zone_core::run_failed(const job_ptr& entry)
+{
+    entry->ran = true;
+    ++entry->failures;
+    const bool again = entry->item.idempotent && !entry->cancel_requested &&
+                       entry->failures < most_failures;
+    if (again)
+    {
+        requeue(entry, entry->run->fault_server());
+        return;
+    }
+    job_outcome outcome{job_state::failed,
+                        result_code::job_failed,
+                        entry->run->fault_reason(),
+                        {},
+                        {}};
+    leave_policy(entry, false);
+    finish(entry, std::move(outcome), true);
+}
+
+void zone_core::run_lost(const job_ptr& entry)
+{
+    entry->may_have_run = true;
+    entry->checked_at_claim = 0;
+    if (entry->item.idempotent && !entry->cancel_requested)
+    {
+        requeue(entry, {});
+        return;
+    }
+    leave_policy(entry, false);
+    // Told after the row is written: another scheduler may know the result.
+    finish(entry,
+           {job_state::unknown,
+            result_code::outcome_unknown,
+            "its backend server was lost while it may have run",
+            {},
+            {}},
+           false);
+}
+
+void zone_core::requeue(const job_ptr& entry, const std::string& fault_server)
+{
+    ++entry->serial;
+    acknowledge(entry);
+    entry->run.reset();
+    if (entry->cancel_requested || !entry->placed)
+    {
+        withdraw(entry);
+        submit(entry);
+        return;
+    }
+    policy->requeue(entry->id, fault_server, now());
+    entry->placed = false;
+    entry->started = false;
+    entry->phase = job_phase::queued;
+}
+
+void zone_core::leave_policy(const job_ptr& entry, bool succeeded)
+{
+    policy->on_ended(entry->id, succeeded, now());
+    entry->placed = false;
+}
+
+void zone_core::acknowledge(const job_ptr& entry)
+{
+    for (const auto& mark : std::exchange(entry->marks, {}))
+    {
+        leases.acknowledge(mark);
+    }
+}
+
+} // namespace poplarramp::detail
--- /dev/null
+++ b/src/control/zone_core.cpp
@@ -0,0 +1,277 @@
+#include "control/zone_core.hpp"
+
+#include "base/log.hpp"
+
+#include <utility>
+
+namespace poplarramp::detail
+{
+
+namespace
+{
+
+// An entry VM polls the state of its jobs each second; an ended job stays
+// known long enough for that.
+constexpr milliseconds ended_job_kept{120000};
+
+lease_hooks hooks_of(zone_core& core)
+{
+    lease_hooks hooks;
+    hooks.now = core.hooks.now;
+    hooks.on_claimed =
+        [&core](const std::string& server, const claim_reply& reply)
+    {
+        core.on_claimed(server, reply);
+    };
+    hooks.on_event = [&core](const task_event& event, const event_mark& mark)
+    {
+        core.on_event(event, mark);
+    };
+    hooks.on_lost = [&core](const std::string& server)
+    {
+        core.policy->set_placeable(server, false);
+    };
+    hooks.on_gone = [&core](const std::string& server)
+    {
+        core.on_gone(server);
+    };
+    hooks.on_leaving = [&core](const std::string& server, bool leaving)
+    {
+        const bool held = core.leases.may_act(server).has_value();
+        core.policy->set_placeable(server, held && !leaving);
+    };
+    return hooks;
+}
+
+} // namespace
+
+zone_core::zone_core(std::string vm_name,
+                     std::string zone_name,
+                     zone_scheduler_hooks all_hooks)
+    : vm(std::move(vm_name)), zone(std::move(zone_name)),
+      hooks(std::move(all_hooks)), policy(std::make_unique<scheduler>(zone)),
+      leases(vm, hooks.backend, hooks_of(*this)),
+      rows(zone, hooks.store, hooks.clock, hooks.now),
+      scan(rows, hooks.now, [this](const std::string& id) { on_open_job(id); })
+{
+}
+
+time_point zone_core::now() const
+{
+    return hooks.now();
+}
+
+void zone_core::activate()
+{
+    if (active)
+    {
+        return;
+    }
+    log_line(log_level::info, "sched", "activated", {{"zone", zone}});
+    active = true;
+    activated_at = now();
+    policy->set_open(open);
+    leases.activate();
+    scan.start();
+}
+
+void zone_core::deactivate(std::function<void()> released)
+{
+    log_line(log_level::info, "sched", "deactivated", {{"zone", zone}});
+    active = false;
+    scan.stop();
+    strays.clear();
+    for (const auto& entry : all_jobs())
+    {
+        const bool decided = entry->phase == job_phase::finishing ||
+                             entry->phase == job_phase::ended;
+        if (!decided)
+        {
+            entry->phase = job_phase::dropped;
+            ++entry->serial;
+            entry->run.reset();
+            jobs.erase(entry->id);
+        }
+    }
+    policy = std::make_unique<scheduler>(zone);
+    policy->set_sheet(config.plan);
+    leases.release_all(std::move(released));
+}
+
+void zone_core::set_configuration(const configuration& next, bool is_open)
+{
+    if (config.version != next.version || config.version == 0)
+    {
+        policy->set_sheet(next.plan);
+    }
+    config = next;
+    open = is_open;
+    policy->set_open(open);
+    decide();
+}
+
+void zone_core::tick()
+{
+    gate.tick(now(), hooks.config_confirmed_at());
+    leases.tick();
+    rows.tick();
+    scan.tick();
+    all_held = active && leases.all_held();
+    for (const auto& entry : all_jobs())
+    {
+        tick_job(entry);
+    }
+    stop_strays();
+    std::erase_if(early_cancels,
+                  [this](const auto& item) { return item.second <= now(); });
+    decide();
+}
+
+void zone_core::tick_job(const job_ptr& entry)
+{
+    switch (entry->phase)
+    {
+    case job_phase::held:
+        resolve_held(entry);
+        return;
+    case job_phase::gated:
+        try_start(entry);
+        return;
+    case job_phase::running:
+        settle_lost_servers(entry);
+        entry->run->tick();
+        run_changed(entry);
+        return;
+    case job_phase::deferred:
+        if (now() >= entry->retry_at)
+        {
+            submit(entry);
+        }
+        return;
+    case job_phase::withheld:
+        if (!leases.contested())
+        {
+            finish(entry, entry->item.outcome, !entry->item.durable);
+        }
+        return;
+    case job_phase::ended:
+        if (now() >= entry->ended_at + ended_job_kept)
+        {
+            jobs.erase(entry->id);
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+job_ptr zone_core::find(std::string_view id) const
+{
+    const auto found = jobs.find(id);
+    return found == jobs.end() ? nullptr : found->second;
+}
+
+job_ptr zone_core::add(const job& item)
+{
+    auto entry = std::make_shared<zone_job>();
+    entry->item = item;
+    entry->item.outcome = {};
+    entry->id = job_id(item.request);
+    entry->cancel_requested = early_cancels.erase(entry->id) > 0;
+    jobs[entry->id] = entry;
+    return entry;
+}
+
+std::vector<job_ptr> zone_core::all_jobs() const
+{
+    std::vector<job_ptr> all;
+    all.reserve(jobs.size());
+    for (const auto& [id, entry] : jobs)
+    {
+        all.push_back(entry);
+    }
+    return all;
+}
+
+void zone_core::finish(const job_ptr& entry,
+                       job_outcome outcome,
+                       bool tell_first)
+{
+    entry->phase = job_phase::finishing;
+    entry->item.outcome = std::move(outcome);
+    ++entry->serial;
+    entry->run.reset();
+    std::function<void()> delayed;
+    if (tell_first)
+    {
+        delayed = [this, entry]
+        {
+            tell(entry);
+        };
+    }
+    rows.finish(entry->item,
+                std::move(delayed),
+                [this, entry](const job& row)
+                {
+                    if (!entry->told)
+                    {
+                        entry->item.outcome = row.outcome;
+                    }
+                    end(entry);
+                });
+}
+
+void zone_core::conclude(const job_ptr& entry, failure why)
+{
+    job_outcome outcome;
+    outcome.state = why.code == result_code::cancelled ? job_state::cancelled
+                                                       : job_state::not_run;
+    outcome.code = why.code;
+    outcome.reason = std::move(why.reason);
+    const bool did_run = entry->ran || entry->may_have_run;
+    if (did_run && outcome.state == job_state::not_run)
+    {
+        outcome.state = entry->ran ? job_state::failed : job_state::unknown;
+        outcome.code =
+            entry->ran ? result_code::job_failed : result_code::outcome_unknown;
+        outcome.reason += "; an earlier attempt ";
+        outcome.reason += entry->ran ? "ran" : "may have run";
+    }
+    if (!did_run && leases.contested())
+    {
+        entry->phase = job_phase::withheld;
+        entry->item.outcome = std::move(outcome);
+        return;
+    }
+    // A row that stays open would let the next scheduler run the job after
+    // the caller was told that it did not run.
+    finish(entry, std::move(outcome), !entry->item.durable);
+}
+
+void zone_core::row_is_final(const job_ptr& entry, const job& row)
+{
+    ++entry->serial;
+    withdraw(entry);
+    entry->run.reset();
+    entry->item.outcome = row.outcome;
+    end(entry);
+}
+
+void zone_core::tell(const job_ptr& entry)
+{
+    if (!entry->told)
+    {
+        entry->told = true;
+        hooks.on_job_ended(entry->item);
+    }
+}
+
+void zone_core::end(const job_ptr& entry)
+{
+    entry->phase = job_phase::ended;
+    entry->ended_at = now();
+    acknowledge(entry);
+    tell(entry);
+}
+
+} // namespace poplarramp::detail
--- /dev/null
+++ b/src/control/zone_core.hpp
@@ -0,0 +1,196 @@
+// State of the scheduler of one availability zone and the steps of its jobs.
+// Private to `zone_scheduler`; the steps are spread over zone_core.cpp (life of
+// the object, outcomes), zone_queue.cpp (enqueue, cancel, decisions),
+// zone_attempts.cpp (from a decision to the end of an attempt) and
+// zone_takeover.cpp (what backend servers and rows tell of earlier attempts).
+#ifndef POPLARRAMP_CONTROL_ZONE_CORE_HPP
+#define POPLARRAMP_CONTROL_ZONE_CORE_HPP
+
+#include "control/config_gate.hpp"
+#include "control/job_rows.hpp"
+#include "control/open_job_scan.hpp"
+#include "control/server_leases.hpp"
+#include "control/task_run.hpp"
+#include "control/zone_scheduler.hpp"
+#include "policy/scheduler.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace poplarramp::detail
+{
+
+enum class job_phase
+{
+    // May have been started by an earlier scheduler; not given to the policy.
+    held,
+    queued,
+    // Placed; its row is read, because another scheduler may have ended it.
+    checking,
+    // Placed; its attempt record is written.
+    recording,
+    // Placed; waits for a recent view of the configuration.
+    gated,
+    // An attempt runs or may run.
+    running,
+    // Waits until `retry_at` before it is queued again.
+    deferred,
+    // "Did not run" is withheld while another scheduler may hold servers.
+    withheld,
+    // The outcome is decided; the final row is not written yet.
+    finishing,
+    ended,
+    // The scheduler was deactivated.
+    dropped,
+};
+
+struct zone_job
+{
+    job item;
+    std::string id;
+    job_phase phase = job_phase::held;
+    // Changes when an attempt is given up; replies to it are then dropped.
+    int serial = 0;
+    // The policy has the job as placed.
+    bool placed = false;
+    bool started = false;
+    // An attempt ran, so "not run" would be false.
+    bool ran = false;
+    // An earlier scheduler may have run it.
+    bool may_have_run = false;
+    bool cancel_requested = false;
+    bool told = false;
+    // The row was read after the job was held.
+    bool row_seen = false;
+    bool row_read_in_flight = false;
+    // Value of `zone_core::claims` when the row was last known not to be final.
+    std::uint64_t checked_at_claim = 0;
+    int attempt = 0;
+    // Attempts up to this one are proved not to have run.
+    int not_run_up_to = 0;
+    int failures = 0;
+    int refusals = 0;
+    std::vector<placement_part> parts;
+    std::vector<lease_token> tokens;
+    std::shared_ptr<task_run> run;
+    std::vector<event_mark> marks;
+    time_point retry_at{};
+    time_point ended_at{};
+};
+
+using job_ptr = std::shared_ptr<zone_job>;
+
+// A running task that no attempt of this scheduler owns.
+struct stray_task
+{
+    std::string server;
+    std::string id;
+    time_point next_stop{};
+};
+
+struct zone_core
+{
+    zone_core(std::string vm_name,
+              std::string zone_name,
+              zone_scheduler_hooks all_hooks);
+    zone_core(const zone_core&) = delete;
+    zone_core& operator=(const zone_core&) = delete;
+
+    // zone_core.cpp
+    void activate();
+    void deactivate(std::function<void()> released);
+    void set_configuration(const configuration& next, bool is_open);
+    void tick();
+    void tick_job(const job_ptr& entry);
+    job_ptr find(std::string_view id) const;
+    job_ptr add(const job& item);
+    std::vector<job_ptr> all_jobs() const;
+    // The outcome is known. `tell_first`: `on_job_ended` need not wait for the
+    // row while the table is down.
+    void finish(const job_ptr& entry, job_outcome outcome, bool tell_first);
+    // Ends a job of which no attempt runs.
+    void conclude(const job_ptr& entry, failure why);
+    void row_is_final(const job_ptr& entry, const job& row);
+    void tell(const job_ptr& entry);
+    void end(const job_ptr& entry);
+    time_point now() const;
+
+    // zone_queue.cpp
+    failure enqueue(const job& item);
+    failure cancel(std::string_view id);
+    failure submit(const job_ptr& entry);
+    // Takes the job out of the policy.
+    void withdraw(const job_ptr& entry);
+    void defer(const job_ptr& entry, milliseconds wait);
+    void decide();
+    void apply(const decision& made);
+    void apply_place(const decision& made);
+    void apply_preempt(const decision& made);
+    bool is_fresh(const job& item) const;
+
+    // zone_attempts.cpp
+    void check_row(const job_ptr& entry);
+    void record_attempt(const job_ptr& entry);
+    void on_recorded(const job_ptr& entry,
+                     record_result result,
+                     const job_row_view& view);
+    void try_start(const job_ptr& entry);
+    // Nothing was sent: the job goes back to the queue.
+    void abandon(const job_ptr& entry);
+    std::shared_ptr<task_run> make_run(const job_ptr& entry);
+    void run_changed(const job_ptr& entry);
+    void run_ended(const job_ptr& entry, run_end how);
+    void run_never_started(const job_ptr& entry);
+    void run_stopped(const job_ptr& entry);
+    void run_failed(const job_ptr& entry);
+    void run_lost(const job_ptr& entry);
+    void requeue(const job_ptr& entry, const std::string& fault_server);
+    void leave_policy(const job_ptr& entry, bool succeeded);
+    void acknowledge(const job_ptr& entry);
+
+    // zone_takeover.cpp
+    void on_claimed(const std::string& server, const claim_reply& reply);
+    void on_event(const task_event& event, const event_mark& mark);
+    void on_gone(const std::string& server);
+    void adopt_task(const std::string& server, const task_status& status);
+    void on_open_job(const std::string& id);
+    void resolve_held(const job_ptr& entry);
+    void read_held_row(const job_ptr& entry);
+    void expect_attempt(const job_ptr& entry);
+    bool may_be_running(const job_ptr& entry) const;
+    void settle_lost_servers(const job_ptr& entry);
+    void stop_strays();
+
+    std::string vm;
+    std::string zone;
+    zone_scheduler_hooks hooks;
+    bool active = false;
+    bool open = false;
+    bool deciding = false;
+    configuration config;
+    time_point activated_at{};
+    // Grants so far. A grant may end the rule of another scheduler that ended
+    // jobs which are queued here too.
+    std::uint64_t claims = 0;
+    // Whether all servers were held at the last tick.
+    bool all_held = false;
+    std::unique_ptr<scheduler> policy;
+    server_leases leases;
+    job_rows rows;
+    open_job_scan scan;
+    config_gate gate;
+    std::map<std::string, job_ptr, std::less<>> jobs;
+    // Cancellations of unknown jobs and when they are forgotten.
+    std::map<std::string, time_point, std::less<>> early_cancels;
+    std::map<std::pair<std::string, std::string>, stray_task> strays;
+};
+
+} // namespace poplarramp::detail
+
+#endif
--- /dev/null
+++ b/src/control/zone_queue.cpp
@@ -0,0 +1,213 @@
+#include "control/zone_core.hpp"
+
+#include "base/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarramp::detail
+{
+
+namespace
+{
+
+// An earlier scheduler is suspected, and not sent jobs any more, at the latest
+// this long after its last heartbeat.
+constexpr milliseconds overlap_after_activation{1500};
+// An older job may have ended here and been forgotten.
+constexpr milliseconds longest_fresh_age{60000};
+constexpr milliseconds early_cancel_kept{10000};
+
+} // namespace
+
+// A fresh job was accepted while this scheduler was the one to send it to, so
+// no other has started it.
+bool zone_core::is_fresh(const job& item) const
+{
+    return item.accepted >= activated_at + overlap_after_activation &&
+           now() - item.accepted < longest_fresh_age;
+}
+
+failure zone_core::enqueue(const job& item)
+{
+    if (!active)
+    {
+        return {result_code::conflict, "not the scheduler of " + zone};
+    }
+    if (find(job_id(item.request)))
+    {
+        return {};
+    }
+    auto entry = add(item);
+    failure refused;
+    if (is_fresh(item))
+    {
+        entry->checked_at_claim = claims;
+        refused = submit(entry);
+    }
+    else
+    {
+        entry->may_have_run = true;
+        resolve_held(entry);
+    }
+    decide();
+    return refused;
+}
+
+failure zone_core::submit(const job_ptr& entry)
+{
+    if (entry->cancel_requested)
+    {
+        conclude(entry, {result_code::cancelled, "cancelled before it ran"});
+        return {};
+    }
+    entry->phase = job_phase::queued;
+    entry->placed = false;
+    entry->started = false;
+    entry->run.reset();
+    const auto refused = policy->submit(entry->item, now());
+    if (!refused)
+    {
+        return {};
+    }
+    conclude(entry, *refused);
+    const bool answered = entry->phase != job_phase::withheld &&
+                          entry->item.outcome.state == job_state::not_run;
+    return answered ? *refused : failure{};
+}
+
+failure zone_core::cancel(std::string_view id)
+{
+    const auto entry = find(id);
+    if (!entry)
+    {
+        early_cancels[std::string(id)] = now() + early_cancel_kept;
+        return {result_code::not_found, "unknown job " + std::string(id)};
+    }
+    if (entry->phase == job_phase::finishing ||
+        entry->phase == job_phase::ended || entry->phase == job_phase::withheld)
+    {
+        return {};
+    }
+    entry->cancel_requested = true;
+    if (entry->phase == job_phase::held)
+    {
+        return {};
+    }
+    if (entry->phase == job_phase::running)
+    {
+        entry->run->stop(false, now());
+        run_changed(entry);
+        decide();
+        return {};
+    }
+    ++entry->serial;
+    withdraw(entry);
+    conclude(entry, {result_code::cancelled, "cancelled before it ran"});
+    decide();
+    return {};
+}
+
+void zone_core::withdraw(const job_ptr& entry)
+{
+    policy->requeue(entry->id, {}, now());
+    policy->cancel(entry->id);
+    entry->placed = false;
+    entry->started = false;
+}
+
+void zone_core::defer(const job_ptr& entry, milliseconds wait)
+{
+    ++entry->serial;
+    withdraw(entry);
+    entry->run.reset();
+    entry->phase = job_phase::deferred;
+    entry->retry_at = now() + wait;
+}
+
+void zone_core::decide()
+{
+    if (!active || deciding)
+    {
+        return;
+    }
+    deciding = true;
+    for (const auto& made : policy->decide(now()))
+    {
+        apply(made);
+    }
+    deciding = false;
+}
+
+void zone_core::apply(const decision& made)
+{
+    switch (made.kind)
+    {
+    case decision_kind::place:
+        apply_place(made);
+        return;
+    case decision_kind::preempt:
+        apply_preempt(made);
+        return;
+    case decision_kind::refuse:
+        if (const auto entry = find(made.job_id))
+        {
+            withdraw(entry);
+            conclude(entry, {made.code, made.reason});
+        }
+        return;
+    }
+}
+
+void zone_core::apply_place(const decision& made)
+{
+    const auto entry = find(made.job_id);
+    if (!entry || entry->phase != job_phase::queued)
+    {
+        policy->on_ended(made.job_id, true, now());
+        return;
+    }
+    ++entry->serial;
+    entry->placed = true;
+    entry->parts = made.parts;
+    entry->attempt = std::max(entry->attempt, last_attempt(entry->item)) + 1;
+    if (!open)
+    {
+        abandon(entry);
+    }
+    else if (entry->item.idempotent)
+    {
+        check_row(entry);
+    }
+    else
+    {
+        record_attempt(entry);
+    }
+}
+
+void zone_core::apply_preempt(const decision& made)
+{
+    const auto entry = find(made.job_id);
+    if (!entry)
+    {
+        return;
+    }
+    log_line(log_level::info,
+             "sched",
+             "preempts",
+             {{"job", made.job_id},
+              {"for", made.for_job},
+              {"guarantee_of", made.for_guarantee_of}});
+    if (entry->phase == job_phase::running)
+    {
+        entry->run->stop(made.checkpoint, made.deadline);
+        run_changed(entry);
+        return;
+    }
+    if (entry->placed)
+    {
+        abandon(entry);
+    }
+}
+
+} // namespace poplarramp::detail
--- a/src/control/zone_scheduler.hpp
+++ b/src/control/zone_scheduler.hpp
@@ -33,6 +33,8 @@
     // The job has ended; called once the row is written, or at once while the
     // table is down.
     std::function<void(const job& item)> on_job_ended;
+    // Relates `now` to the times in rows.
+    clock_mapping clock = clock_mapping::of_this_process();
 };
 
 // Not thread safe; used on the control thread only.
--- /dev/null
+++ b/src/control/zone_takeover.cpp
@@ -0,0 +1,315 @@
+#include "control/zone_core.hpp"
+
+#include "base/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarramp::detail
+{
+
+namespace
+{
+
+// A backend server stops a stoppable task this long after its last lease.
+constexpr milliseconds orphan_limit{120000};
+constexpr milliseconds orphan_margin{10000};
+constexpr milliseconds stray_stop_retry{1000};
+constexpr milliseconds stray_stop_deadline{1000};
+constexpr milliseconds held_row_retry{1000};
+
+std::string_view job_of_task(std::string_view task)
+{
+    return task.substr(0, task.rfind('#'));
+}
+
+bool is_live(task_state state)
+{
+    return state == task_state::prepared || state == task_state::running;
+}
+
+bool owns(const task_run& run, const std::string& server, std::string_view id)
+{
+    return std::any_of(run.parts().begin(),
+                       run.parts().end(),
+                       [&](const run_part& part)
+                       {
+                           const bool here =
+                               part.server.empty() || part.server == server;
+                           return part.id == id && here;
+                       });
+}
+
+} // namespace
+
+void zone_core::on_claimed(const std::string& server, const claim_reply& reply)
+{
+    ++claims;
+    policy->add_server({server, reply.rack, reply.accelerators, reply.slots});
+    const auto* lease = leases.find(server);
+    policy->set_placeable(server, lease && !lease->leaving());
+    for (const auto& status : reply.tasks)
+    {
+        adopt_task(server, status);
+    }
+    for (const auto& entry : all_jobs())
+    {
+        if (entry->phase == job_phase::running)
+        {
+            entry->run->on_claimed(server, reply);
+            run_changed(entry);
+        }
+    }
+    decide();
+}
+
+void zone_core::adopt_task(const std::string& server, const task_status& status)
+{
+    auto entry = find(job_id(status.item.owner.request));
+    if (!entry)
+    {
+        entry = add(status.item.owner);
+    }
+    const bool decided = entry->phase == job_phase::finishing ||
+                         entry->phase == job_phase::ended;
+    if (decided || entry->run)
+    {
+        const bool ours =
+            entry->run && owns(*entry->run, server, status.item.id);
+        if (!ours && is_live(status.state))
+        {
+            strays[{server, status.item.id}] = {server, status.item.id, {}};
+        }
+        return;
+    }
+    log_line(log_level::info,
+             "sched",
+             "adopts",
+             {{"task", status.item.id}, {"server", server}});
+    ++entry->serial;
+    withdraw(entry);
+    entry->may_have_run = true;
+    entry->attempt = status.item.attempt;
+    entry->phase = job_phase::running;
+    entry->run = make_run(entry);
+    entry->run->adopt(status.item);
+}
+
+void zone_core::on_event(const task_event& event, const event_mark& mark)
+{
+    const auto entry = find(job_of_task(event.task_id));
+    if (entry && entry->run && entry->run->on_event(event, mark))
+    {
+        run_changed(entry);
+        decide();
+        return;
+    }
+    if (entry && entry->phase == job_phase::finishing)
+    {
+        entry->marks.push_back(mark);
+        return;
+    }
+    if (!is_live(event.state))
+    {
+        strays.erase({mark.server, event.task_id});
+    }
+    leases.acknowledge(mark);
+}
+
+void zone_core::on_gone(const std::string& server)
+{
+    policy->remove_server(server);
+    std::erase_if(strays,
+                  [&server](const auto& item)
+                  { return item.second.server == server; });
+    for (const auto& entry : all_jobs())
+    {
+        if (entry->phase == job_phase::running)
+        {
+            entry->run->on_gone(server);
+            run_changed(entry);
+        }
+    }
+    decide();
+}
+
+void zone_core::on_open_job(const std::string& id)
+{
+    if (find(id))
+    {
+        return;
+    }
+    rows.read(id,
+              [this, id, since = activated_at](const job_row_view& view)
+              {
+                  const bool wanted = active && since == activated_at &&
+                                      !find(id) && view.item &&
+                                      view.item->zone == zone &&
+                                      !is_final(view.item->outcome.state);
+                  if (!wanted)
+                  {
+                      return;
+                  }
+                  const auto entry = add(*view.item);
+                  entry->may_have_run = true;
+                  entry->row_seen = true;
+                  resolve_held(entry);
+              });
+}
+
+// True if an earlier attempt of an idempotent job may run on a server that is
+// not claimed yet.
+bool zone_core::may_be_running(const job_ptr& entry) const
+{
+    if (all_held || leases.all_held())
+    {
+        return false;
+    }
+    const bool orphaned = now() >= activated_at + server_lease_time +
+                                       orphan_limit + orphan_margin;
+    return !(entry->item.can_stop && orphaned);
+}
+
+void zone_core::resolve_held(const job_ptr& entry)
+{
+    if (entry->phase != job_phase::held || !active)
+    {
+        return;
+    }
+    if (entry->item.durable && !entry->row_seen)
+    {
+        read_held_row(entry);
+    }
+    if (entry->phase != job_phase::held)
+    {
+        return;
+    }
+    if (entry->item.idempotent)
+    {
+        if (!may_be_running(entry))
+        {
+            submit(entry);
+        }
+        return;
+    }
+    if (!entry->row_seen)
+    {
+        return;
+    }
+    if (open_attempts(entry->item).empty())
+    {
+        entry->may_have_run = false;
+        submit(entry);
+        return;
+    }
+    if (leases.members_known())
+    {
+        expect_attempt(entry);
+    }
+}
+
+void zone_core::read_held_row(const job_ptr& entry)
+{
+    if (entry->row_read_in_flight || now() < entry->retry_at)
+    {
+        return;
+    }
+    entry->row_read_in_flight = true;
+    rows.read(entry->id,
+              [this, entry](const job_row_view& view)
+              {
+                  entry->row_read_in_flight = false;
+                  entry->retry_at = now() + held_row_retry;
+                  if (entry->phase != job_phase::held || view.error)
+                  {
+                      return;
+                  }
+                  if (view.item && is_final(view.item->outcome.state))
+                  {
+                      row_is_final(entry, *view.item);
+                      return;
+                  }
+                  if (view.item)
+                  {
+                      entry->item.attempts = view.item->attempts;
+                  }
+                  entry->row_seen = true;
+                  resolve_held(entry);
+                  decide();
+              });
+}
+
+// The row has an attempt of an earlier scheduler. Servers that are claimed
+// already did not list it, or it would have been adopted.
+void zone_core::expect_attempt(const job_ptr& entry)
+{
+    const auto records = open_attempts(entry->item);
+    entry->attempt = records.front().number;
+    entry->phase = job_phase::running;
+    entry->run = make_run(entry);
+    entry->run->expect(records);
+    for (const auto& record : records)
+    {
+        const auto* lease = leases.find(record.server);
+        if (!lease)
+        {
+            entry->run->on_gone(record.server);
+            continue;
+        }
+        const bool newer = lease->token.epoch > record.epoch ||
+                           lease->token.incarnation != record.incarnation;
+        if (lease->phase == lease_phase::held && newer)
+        {
+            claim_reply seen;
+            seen.token = lease->token;
+            entry->run->on_claimed(record.server, seen);
+        }
+    }
+    run_changed(entry);
+}
+
+void zone_core::settle_lost_servers(const job_ptr& entry)
+{
+    if (all_held)
+    {
+        entry->run->on_all_reported();
+    }
+    const bool may_repeat = entry->item.idempotent && entry->item.can_stop;
+    if (!may_repeat)
+    {
+        return;
+    }
+    const auto limit = server_lease_time + orphan_limit + orphan_margin;
+    for (const auto& part : entry->run->parts())
+    {
+        const auto* lease = leases.find(part.server);
+        const bool orphaned = lease && lease->phase != lease_phase::held &&
+                              now() >= lease->unclaimed_since + limit;
+        if (orphaned)
+        {
+            entry->run->on_gone(std::string(part.server));
+            return;
+        }
+    }
+}
+
+void zone_core::stop_strays()
+{
+    for (auto& [key, stray] : strays)
+    {
+        const auto token = leases.may_act(stray.server);
+        if (!token || now() < stray.next_stop)
+        {
+            continue;
+        }
+        stray.next_stop = now() + stray_stop_retry;
+        hooks.backend.stop(leases.find(stray.server)->address,
+                           *token,
+                           stray.id,
+                           false,
+                           now() + stray_stop_deadline,
+                           [](const task_reply&) {});
+    }
+}
+
+} // namespace poplarramp::detail
--- /dev/null
+++ b/tests/zone_fakes.cpp
@@ -0,0 +1,831 @@
+#include "zone_fakes.hpp"
+
+#include "base/log.hpp"
+#include "model/codec.hpp"
+
+#include <algorithm>
+
+namespace poplarramp::fakes
+{
+
+namespace
+{
+
+constexpr milliseconds latency{1};
+constexpr milliseconds slow_latency{1500};
+constexpr milliseconds late_effect{300};
+constexpr milliseconds tick_interval{50};
+
+void set_code(failure& error, result_code code)
+{
+    error = {code, "fake"};
+}
+
+template <class Reply>
+Reply failed(result_code code)
+{
+    Reply reply;
+    if constexpr (std::is_same_v<Reply, failure>)
+    {
+        set_code(reply, code);
+    }
+    else
+    {
+        set_code(reply.error, code);
+    }
+    return reply;
+}
+
+bool is_table(const std::string& kind)
+{
+    return kind == "read" || kind == "write" || kind == "scan";
+}
+
+int run_time(const task& item)
+{
+    return std::stoi(item.owner.request.payload);
+}
+
+} // namespace
+
+job make_job(const std::string& key, int accelerators, bool idempotent)
+{
+    job item;
+    item.request.customer = "bead";
+    item.request.key = key;
+    item.request.kind = idempotent ? "shape" : "tint";
+    item.request.accelerators = accelerators;
+    item.request.payload = "1000";
+    item.idempotent = idempotent;
+    item.zone = "z";
+    item.token = "token-" + key;
+    return item;
+}
+
+world::world(int count)
+{
+    set_log_level(log_level::error);
+    for (int i = 0; i < count; ++i)
+    {
+        fake_server server;
+        server.id = "s" + std::to_string(i);
+        server.rack = "r" + std::to_string(i / 2);
+        servers.push_back(server);
+    }
+    config.version = 1;
+    config.zones["z"] = zone_state::open;
+}
+
+time_point world::now() const
+{
+    return now_;
+}
+
+void world::after(milliseconds delay, std::function<void()> action)
+{
+    timers_.emplace(now_ + delay, std::move(action));
+}
+
+void world::run(milliseconds time)
+{
+    const auto end = now_ + time;
+    while (now_ < end)
+    {
+        const auto next_tick = now_ + tick_interval;
+        while (!timers_.empty() && timers_.begin()->first <= next_tick)
+        {
+            auto first = timers_.extract(timers_.begin());
+            now_ = std::max(now_, first.key());
+            first.mapped()();
+        }
+        now_ = next_tick;
+        config_time = config_frozen ? config_time : now_;
+        for (const auto& item : processes_)
+        {
+            if (!item->frozen && !item->dead)
+            {
+                item->zone->tick();
+            }
+        }
+    }
+}
+
+process& world::add_process(const std::string& name)
+{
+    processes_.push_back(std::make_unique<process>());
+    auto& added = *processes_.back();
+    added.name = name;
+    config_time = now_;
+    added.zone = std::make_unique<zone_scheduler>(name, "z", hooks_for(added));
+    added.zone->set_configuration(config, open);
+    publish_members();
+    return added;
+}
+
+void world::publish_members()
+{
+    std::vector<vm_member> members;
+    for (const auto& server : servers)
+    {
+        if (server.listed)
+        {
+            members.push_back({server.id,
+                               vm_role::backend_server,
+                               "z",
+                               server.rack,
+                               server.id,
+                               server.leaving});
+        }
+    }
+    for (const auto& item : processes_)
+    {
+        deliver(*item,
+                [members, zone = item->zone.get()]
+                { zone->set_backend_servers(members); });
+    }
+}
+
+void world::activate(process& target)
+{
+    deliver(target,
+            [&target]
+            {
+                target.active = true;
+                target.zone->activate();
+            });
+}
+
+void world::deactivate(process& target)
+{
+    deliver(target,
+            [&target]
+            {
+                target.active = false;
+                target.zone->deactivate([] {});
+            });
+}
+
+void world::thaw(process& target)
+{
+    target.frozen = false;
+    for (const auto& action : std::exchange(target.waiting, {}))
+    {
+        action();
+    }
+}
+
+void world::deliver(process& to, std::function<void()> action)
+{
+    if (to.dead)
+    {
+        return;
+    }
+    if (to.frozen)
+    {
+        to.waiting.push_back(std::move(action));
+        return;
+    }
+    action();
+}
+
+void world::accept(const job& item)
+{
+    const auto id = job_id(item.request);
+    write({{"job/" + id, json_text(to_json(item, mapping)), 0, false},
+           {"open/z/" + id, "", 0, false}});
+}
+
+void world::set_open(bool is_open)
+{
+    open = is_open;
+    for (const auto& item : processes_)
+    {
+        deliver(*item,
+                [this, zone = item->zone.get()]
+                { zone->set_configuration(config, open); });
+    }
+}
+
+std::optional<job> world::row(const std::string& id)
+{
+    const auto found = rows_.find("job/" + id);
+    if (found == rows_.end())
+    {
+        return std::nullopt;
+    }
+    failure why;
+    const auto json = parse_json(found->second.value, why);
+    return job_from_json(*json, mapping, why);
+}
+
+bool world::has_open_row(const std::string& id) const
+{
+    return rows_.count("open/z/" + id) > 0;
+}
+
+int world::executions_of(const std::string& id) const
+{
+    return static_cast<int>(std::count_if(executions.begin(),
+                                          executions.end(),
+                                          [&id](const execution& item)
+                                          { return item.job == id; }));
+}
+
+template <class Reply>
+void world::call(process& from,
+                 call_info info,
+                 time_point deadline,
+                 std::function<Reply()> effect,
+                 std::function<void(Reply)> done)
+{
+    info.process = from.name;
+    if (on_call)
+    {
+        on_call(info);
+    }
+    auto fault = fault_of ? fault_of(info) : call_fault::none;
+    const auto reply_in = [this, &from, done](milliseconds delay, Reply reply)
+    {
+        after(delay,
+              [this, &from, done, reply]
+              { deliver(from, [done, reply] { done(reply); }); });
+    };
+    const bool table = is_table(info.kind);
+    const bool refused = table ? table_down : !at(info.target).alive;
+    if (refused || fault == call_fault::unreachable)
+    {
+        reply_in(latency,
+                 failed<Reply>(table ? result_code::store_unavailable
+                                     : result_code::unreachable));
+        return;
+    }
+    const auto limit = deadline - now_;
+    // A server that dies on the way answers nothing.
+    const auto take_effect = [this, table, target = info.target, effect]
+    {
+        const bool dead = !table && !at(target).alive;
+        return dead ? failed<Reply>(result_code::timeout) : effect();
+    };
+    switch (fault)
+    {
+    case call_fault::lost_before:
+        reply_in(limit, failed<Reply>(result_code::timeout));
+        return;
+    case call_fault::lost_after:
+        after(latency, [take_effect] { take_effect(); });
+        reply_in(limit, failed<Reply>(result_code::answer_lost));
+        return;
+    case call_fault::silent:
+        after(limit + late_effect, [take_effect] { take_effect(); });
+        reply_in(limit, failed<Reply>(result_code::timeout));
+        return;
+    default:
+        break;
+    }
+    const auto way = fault == call_fault::slow ? slow_latency : latency;
+    after(way, [reply_in, take_effect] { reply_in(latency, take_effect()); });
+}
+
+fake_server& world::at(const std::string& address)
+{
+    return *std::find_if(servers.begin(),
+                         servers.end(),
+                         [&address](const fake_server& server)
+                         { return server.id == address; });
+}
+
+zone_scheduler_hooks world::hooks_for(process& from)
+{
+    zone_scheduler_hooks hooks;
+    hooks.store = table_for(from);
+    hooks.backend = backend_for(from);
+    hooks.now = [this]
+    {
+        return now_;
+    };
+    hooks.config_confirmed_at = [this]
+    {
+        return config_time;
+    };
+    hooks.on_job_ended = [this](const job& item)
+    {
+        told.emplace_back(job_id(item.request), item.outcome);
+    };
+    hooks.clock = mapping;
+    return hooks;
+}
+
+table world::table_for(process& from)
+{
+    table api;
+    api.read = [this, &from](const std::string& key,
+                             time_point deadline,
+                             std::function<void(table_read_reply)> done)
+    {
+        call<table_read_reply>(
+            from,
+            {{}, "read", key, false, 0, {}},
+            deadline,
+            [this, key]
+            {
+                table_read_reply reply;
+                const auto found = rows_.find(key);
+                reply.row = found == rows_.end() ? table_row{key, {}, 0}
+                                                 : found->second;
+                return reply;
+            },
+            std::move(done));
+    };
+    api.write = [this, &from](const std::vector<table_change>& changes,
+                              time_point deadline,
+                              std::function<void(table_write_reply)> done)
+    {
+        call<table_write_reply>(
+            from,
+            {{},
+             "write",
+             changes.front().key,
+             false,
+             changes.size(),
+             changes.front().value},
+            deadline,
+            [this, changes] { return write(changes); },
+            std::move(done));
+    };
+    api.scan = [this, &from](const std::string& prefix,
+                             const std::string& start_after,
+                             int limit,
+                             time_point deadline,
+                             std::function<void(table_scan_reply)> done)
+    {
+        call<table_scan_reply>(
+            from,
+            {{}, "scan", prefix, false, 0, {}},
+            deadline,
+            [this, prefix, start_after, limit]
+            {
+                table_scan_reply reply;
+                for (auto it = rows_.upper_bound(std::max(prefix, start_after));
+                     it != rows_.end() && it->first.starts_with(prefix);
+                     ++it)
+                {
+                    if (reply.rows.size() == static_cast<std::size_t>(limit))
+                    {
+                        reply.next = reply.rows.back().key;
+                        break;
+                    }
+                    reply.rows.push_back(it->second);
+                }
+                return reply;
+            },
+            std::move(done));
+    };
+    return api;
+}
+
+table_write_reply world::write(const std::vector<table_change>& changes)
+{
+    table_write_reply reply;
+    for (const auto& change : changes)
+    {
+        const auto found = rows_.find(change.key);
+        const auto version = found == rows_.end() ? 0 : found->second.version;
+        if (version != change.expected_version)
+        {
+            set_code(reply.error, result_code::conflict);
+            return reply;
+        }
+    }
+    for (const auto& change : changes)
+    {
+        reply.versions.push_back(change.remove ? 0 : next_version_++);
+        if (change.remove)
+        {
+            rows_.erase(change.key);
+            continue;
+        }
+        rows_[change.key] = {change.key, change.value, reply.versions.back()};
+    }
+    return reply;
+}
+
+backend_api world::backend_for(process& from)
+{
+    backend_api api;
+    api.claim = [this, &from](const std::string& address,
+                              const std::string& owner,
+                              milliseconds,
+                              time_point deadline,
+                              std::function<void(claim_reply)> done)
+    {
+        call<claim_reply>(
+            from,
+            {{}, "claim", address, false, 0, {}},
+            deadline,
+            [this, address, owner] { return claim(at(address), owner); },
+            std::move(done));
+    };
+    api.renew = [this, &from](const std::string& address,
+                              const renew_request& request,
+                              time_point deadline,
+                              std::function<void(renew_reply)> done)
+    {
+        auto answered = std::make_shared<bool>(false);
+        auto once = [answered, done](const renew_reply& reply)
+        {
+            if (!std::exchange(*answered, true))
+            {
+                done(reply);
+            }
+        };
+        after(deadline - now_,
+              [this, &from, once]
+              {
+                  deliver(from,
+                          [once]
+                          { once(failed<renew_reply>(result_code::timeout)); });
+              });
+        call<renew_reply>(
+            from,
+            {{}, "renew", address, false, 0, {}},
+            deadline,
+            [this, &from, address, request, once]
+            {
+                renew(from, at(address), request, once);
+                return failed<renew_reply>(result_code::pending);
+            },
+            [once](const renew_reply& reply)
+            {
+                if (reply.error.code != result_code::pending)
+                {
+                    once(reply);
+                }
+            });
+    };
+    api.release = [this, &from](const std::string& address,
+                                const lease_token& token,
+                                time_point deadline,
+                                std::function<void(failure)> done)
+    {
+        call<failure>(
+            from,
+            {{}, "release", address, false, 0, {}},
+            deadline,
+            [this, address, token]
+            {
+                auto& server = at(address);
+                const auto error = check(server, token);
+                if (!error)
+                {
+                    server.lease_end = now_;
+                    ++server.epoch;
+                    server.poll = nullptr;
+                }
+                return error;
+            },
+            std::move(done));
+    };
+    add_task_calls(api, from);
+    return api;
+}
+
+void world::add_task_calls(backend_api& api, process& from)
+{
+    api.prepare = [this, &from](const std::string& address,
+                                const lease_token& token,
+                                const task& item,
+                                time_point commit_deadline,
+                                time_point deadline,
+                                task_done done)
+    {
+        call<task_reply>(
+            from,
+            {{}, "prepare", address, false, 0, {}},
+            deadline,
+            [this, address, token, item, commit_deadline]
+            { return prepare(at(address), token, item, commit_deadline); },
+            std::move(done));
+    };
+    api.commit = [this, &from](const std::string& address,
+                               const lease_token& token,
+                               const std::string& id,
+                               time_point deadline,
+                               task_done done)
+    {
+        const call_info info{{}, "commit", address, false, 0, id};
+        starts.emplace_back(now_, info);
+        call<task_reply>(
+            from,
+            info,
+            deadline,
+            [this, address, token, id]
+            { return commit(at(address), token, id); },
+            std::move(done));
+    };
+    api.start = [this, &from](const std::string& address,
+                              const lease_token& token,
+                              const task& item,
+                              time_point deadline,
+                              task_done done)
+    {
+        const call_info info{{}, "start", address, false, 0, item.id};
+        starts.emplace_back(now_, info);
+        call<task_reply>(
+            from,
+            info,
+            deadline,
+            [this, address, token, item]
+            { return start(at(address), token, item); },
+            std::move(done));
+    };
+    api.stop = [this, &from](const std::string& address,
+                             const lease_token& token,
+                             const std::string& id,
+                             bool checkpoint,
+                             time_point deadline,
+                             task_done done)
+    {
+        call<task_reply>(
+            from,
+            {{}, "stop", address, checkpoint, 0, id},
+            deadline,
+            [this, address, token, id, checkpoint]
+            { return stop(at(address), token, id, checkpoint); },
+            std::move(done));
+    };
+}
+
+failure world::check(const fake_server& server, const lease_token& token) const
+{
+    const bool current =
+        token.epoch == server.epoch &&
+        token.incarnation == std::to_string(server.incarnation);
+    return current ? failure{} : failure{result_code::stale_epoch, "fake"};
+}
+
+claim_reply world::claim(fake_server& server, const std::string& owner)
+{
+    claim_reply reply;
+    if (now_ < server.lease_end && owner != server.owner)
+    {
+        set_code(reply.error, result_code::lease_held);
+        return reply;
+    }
+    server.owner = owner;
+    ++server.epoch;
+    server.lease_end = now_ + milliseconds(3000);
+    server.poll = nullptr;
+    reply.token = {owner, std::to_string(server.incarnation), server.epoch};
+    reply.rack = server.rack;
+    reply.accelerators = server.accelerators;
+    reply.slots = 8;
+    reply.leaving = server.leaving;
+    for (const auto& [id, entry] : server.tasks)
+    {
+        reply.tasks.push_back(entry.status);
+    }
+    return reply;
+}
+
+void world::renew(process& from,
+                  fake_server& server,
+                  const renew_request& request,
+                  std::function<void(renew_reply)> reply)
+{
+    const auto send = [this, &from, reply](const renew_reply& answer)
+    {
+        after(latency,
+              [this, &from, reply, answer]
+              { deliver(from, [reply, answer] { reply(answer); }); });
+    };
+    renew_reply answer;
+    answer.error = check(server, request.token);
+    if (answer.error)
+    {
+        send(answer);
+        return;
+    }
+    server.lease_end = now_ + milliseconds(3000);
+    std::erase_if(server.events,
+                  [&request](const task_event& event)
+                  { return event.sequence <= request.acknowledged; });
+    std::erase_if(server.tasks,
+                  [&request](const auto& item)
+                  {
+                      const auto last = item.second.final_event;
+                      return last != 0 && last <= request.acknowledged;
+                  });
+    const int number = ++server.poll_number;
+    server.poll = [&server, send, number]
+    {
+        if (number == server.poll_number && server.poll)
+        {
+            renew_reply full;
+            full.leaving = server.leaving;
+            full.events = server.events;
+            server.poll = nullptr;
+            send(full);
+        }
+    };
+    const auto poll = server.poll;
+    if (!server.events.empty())
+    {
+        poll();
+        return;
+    }
+    after(request.wait, poll);
+}
+
+task_reply world::prepare(fake_server& server,
+                          const lease_token& token,
+                          const task& item,
+                          time_point commit_deadline)
+{
+    task_reply reply;
+    reply.error = check(server, token);
+    const auto known = server.tasks.find(item.id);
+    if (reply.error || known != server.tasks.end())
+    {
+        reply.state = reply.error ? reply.state : known->second.status.state;
+        return reply;
+    }
+    int used = item.accelerators;
+    for (const auto& [id, entry] : server.tasks)
+    {
+        const bool live = entry.status.state == task_state::running ||
+                          entry.status.state == task_state::prepared;
+        used += live ? entry.status.item.accelerators : 0;
+    }
+    if (used > server.accelerators || commit_deadline <= now_)
+    {
+        set_code(reply.error, result_code::server_full);
+        return reply;
+    }
+    auto& entry = server.tasks[item.id];
+    entry.status.item = item;
+    entry.commit_deadline = commit_deadline;
+    after(commit_deadline - now_,
+          [this, &server, id = item.id, incarnation = server.incarnation]
+          {
+              const auto found = server.tasks.find(id);
+              if (found != server.tasks.end() &&
+                  found->second.status.state == task_state::prepared)
+              {
+                  end(server, incarnation, id, task_state::expired, false);
+              }
+          });
+    return reply;
+}
+
+task_reply world::commit(fake_server& server,
+                         const lease_token& token,
+                         const std::string& id)
+{
+    task_reply reply;
+    reply.error = check(server, token);
+    const auto known = server.tasks.find(id);
+    if (reply.error)
+    {
+        return reply;
+    }
+    if (known == server.tasks.end())
+    {
+        set_code(reply.error, result_code::unknown_task);
+        return reply;
+    }
+    if (known->second.status.state == task_state::prepared)
+    {
+        begin(server, known->second);
+    }
+    reply.state = known->second.status.state;
+    return reply;
+}
+
+task_reply
+world::start(fake_server& server, const lease_token& token, const task& item)
+{
+    auto reply = prepare(server, token, item, no_deadline - milliseconds(1));
+    return reply.error ? reply : commit(server, token, item.id);
+}
+
+task_reply world::stop(fake_server& server,
+                       const lease_token& token,
+                       const std::string& id,
+                       bool checkpoint)
+{
+    task_reply reply;
+    reply.error = check(server, token);
+    const auto known = server.tasks.find(id);
+    if (!reply.error && known == server.tasks.end())
+    {
+        set_code(reply.error, result_code::unknown_task);
+    }
+    if (reply.error)
+    {
+        return reply;
+    }
+    reply.state = known->second.status.state;
+    after(milliseconds(checkpoint ? 100 : 5),
+          [this, &server, incarnation = server.incarnation, id, checkpoint]
+          { end(server, incarnation, id, task_state::stopped, checkpoint); });
+    return reply;
+}
+
+void world::begin(fake_server& server, fake_task& entry)
+{
+    const auto& item = entry.status.item;
+    entry.status.state = task_state::running;
+    entry.execution = executions.size();
+    executions.push_back({server.id,
+                          item.id,
+                          job_id(item.owner.request),
+                          item.attempt,
+                          item.member,
+                          item.members,
+                          now_,
+                          {},
+                          false});
+    emit(server, entry);
+    after(milliseconds(run_time(item)),
+          [this, &server, id = item.id, incarnation = server.incarnation]
+          {
+              const auto how = server.fails_tasks ? task_state::failed
+                                                  : task_state::finished;
+              end(server, incarnation, id, how, false);
+          });
+}
+
+void world::end(fake_server& server,
+                int incarnation,
+                const std::string& id,
+                task_state how,
+                bool checkpoint)
+{
+    const auto found = server.tasks.find(id);
+    if (!server.alive || server.incarnation != incarnation ||
+        found == server.tasks.end())
+    {
+        return;
+    }
+    auto& status = found->second.status;
+    const bool was_running = status.state == task_state::running;
+    if (!was_running && status.state != task_state::prepared)
+    {
+        return;
+    }
+    status.state = how;
+    status.checkpoint = checkpoint;
+    status.answer = how == task_state::finished ? "answer" : "";
+    if (was_running)
+    {
+        executions[found->second.execution].how = how;
+    }
+    found->second.final_event = server.next_event;
+    emit(server, found->second);
+}
+
+void world::emit(fake_server& server, fake_task& entry)
+{
+    const auto& status = entry.status;
+    server.events.push_back({server.next_event++,
+                             status.item.id,
+                             status.state,
+                             status.checkpoint,
+                             status.reason,
+                             status.answer,
+                             status.answer_object});
+    if (on_event)
+    {
+        on_event(server, server.events.back());
+    }
+    if (const auto poll = server.poll)
+    {
+        poll();
+    }
+}
+
+void world::kill(fake_server& server)
+{
+    server.alive = false;
+    for (auto& item : executions)
+    {
+        if (item.server == server.id && !item.how)
+        {
+            item.killed = true;
+        }
+    }
+    server.tasks.clear();
+    server.events.clear();
+    server.poll = nullptr;
+}
+
+void world::restart(fake_server& server)
+{
+    server.alive = true;
+    ++server.incarnation;
+    server.owner.clear();
+    server.lease_end = {};
+    server.epoch += 10;
+}
+
+} // namespace poplarramp::fakes
--- /dev/null
+++ b/tests/zone_fakes.hpp
@@ -0,0 +1,194 @@
+// Fakes at the interfaces of the zone scheduler: a clock moved by hand, a
+// table, backend servers with leases, epochs and events, and faults of single
+// calls.
+#ifndef POPLARRAMP_TESTS_ZONE_FAKES_HPP
+#define POPLARRAMP_TESTS_ZONE_FAKES_HPP
+
+#include "control/zone_scheduler.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace poplarramp::fakes
+{
+
+enum class call_fault
+{
+    none,
+    lost_before,
+    lost_after,
+    // No answer until the deadline; the call takes effect after it.
+    silent,
+    unreachable,
+    slow,
+};
+
+struct call_info
+{
+    std::string process;
+    std::string kind;
+    // Server, or key of the first row.
+    std::string target;
+    bool checkpoint = false;
+    std::size_t changes = 0;
+    std::string value;
+};
+
+// One run of a task, from its start to its end.
+struct execution
+{
+    std::string server;
+    std::string task;
+    std::string job;
+    int attempt = 0;
+    int member = 0;
+    int members = 1;
+    time_point start{};
+    std::optional<task_state> how;
+    bool killed = false;
+};
+
+class world;
+
+// Process of an entry VM. What arrives while it is frozen waits.
+struct process
+{
+    std::string name;
+    bool frozen = false;
+    bool dead = false;
+    bool active = false;
+    std::vector<std::function<void()>> waiting;
+    std::unique_ptr<zone_scheduler> zone;
+};
+
+struct fake_task
+{
+    task_status status;
+    time_point commit_deadline{};
+    std::size_t execution = 0;
+    std::uint64_t final_event = 0;
+};
+
+struct fake_server
+{
+    std::string id;
+    std::string rack;
+    int accelerators = 8;
+    bool alive = true;
+    bool listed = true;
+    bool leaving = false;
+    bool fails_tasks = false;
+    int incarnation = 1;
+    std::uint64_t epoch = 0;
+    std::string owner;
+    time_point lease_end{};
+    std::map<std::string, fake_task> tasks;
+    std::vector<task_event> events;
+    std::uint64_t next_event = 1;
+    std::function<void()> poll;
+    int poll_number = 0;
+};
+
+class world
+{
+public:
+    explicit world(int servers);
+
+    time_point now() const;
+    void after(milliseconds delay, std::function<void()> action);
+    // Runs timers, and ticks all processes each 50 ms.
+    void run(milliseconds time);
+
+    process& add_process(const std::string& name);
+    // Gives the member list to all processes.
+    void publish_members();
+    void activate(process& target);
+    void deactivate(process& target);
+    void thaw(process& target);
+    // Accepts the job as an entry VM does: row and index in one write.
+    void accept(const job& item);
+    // Configuration that every process has.
+    void set_open(bool is_open);
+
+    void kill(fake_server& server);
+    void restart(fake_server& server);
+
+    std::optional<job> row(const std::string& id);
+    bool has_open_row(const std::string& id) const;
+    int executions_of(const std::string& id) const;
+
+    std::vector<fake_server> servers;
+    std::vector<execution> executions;
+    std::vector<std::pair<std::string, job_outcome>> told;
+    // Called before each call takes its way.
+    std::function<void(const call_info&)> on_call;
+    std::function<void(const fake_server&, const task_event&)> on_event;
+    std::function<call_fault(const call_info&)> fault_of;
+    bool table_down = false;
+    bool config_frozen = false;
+    time_point config_time{};
+    // Starts and commits sent, with the time.
+    std::vector<std::pair<time_point, call_info>> starts;
+    configuration config;
+    bool open = true;
+    clock_mapping mapping{time_point{}, 1'000'000'000};
+
+private:
+    template <class Reply>
+    void call(process& from,
+              call_info info,
+              time_point deadline,
+              std::function<Reply()> effect,
+              std::function<void(Reply)> done);
+    zone_scheduler_hooks hooks_for(process& from);
+    table table_for(process& from);
+    backend_api backend_for(process& from);
+    void add_task_calls(backend_api& api, process& from);
+    void deliver(process& to, std::function<void()> action);
+    fake_server& at(const std::string& address);
+    failure check(const fake_server& server, const lease_token& token) const;
+    claim_reply claim(fake_server& server, const std::string& owner);
+    void renew(process& from,
+               fake_server& server,
+               const renew_request& request,
+               std::function<void(renew_reply)> reply);
+    task_reply prepare(fake_server& server,
+                       const lease_token& token,
+                       const task& item,
+                       time_point commit_deadline);
+    task_reply commit(fake_server& server,
+                      const lease_token& token,
+                      const std::string& id);
+    task_reply
+    start(fake_server& server, const lease_token& token, const task& item);
+    task_reply stop(fake_server& server,
+                    const lease_token& token,
+                    const std::string& id,
+                    bool checkpoint);
+    void begin(fake_server& server, fake_task& entry);
+    void end(fake_server& server,
+             int incarnation,
+             const std::string& id,
+             task_state how,
+             bool checkpoint);
+    void emit(fake_server& server, fake_task& entry);
+    table_write_reply write(const std::vector<table_change>& changes);
+
+    time_point now_{milliseconds(10'000)};
+    std::multimap<time_point, std::function<void()>> timers_;
+    std::map<std::string, table_row> rows_;
+    std::uint64_t next_version_ = 1;
+    std::vector<std::unique_ptr<process>> processes_;
+};
+
+job make_job(const std::string& key, int accelerators, bool idempotent);
+
+} // namespace poplarramp::fakes
+
+#endif
