--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -1,8 +1,12 @@
 #include "cli/cli.hpp"
 
+#include "base/log.hpp"
+#include "cli/api_client.hpp"
 #include "cli/command_line.hpp"
+#include "cli/remote.hpp"
 #include "config/settings.hpp"
 #include "config/sheet_file.hpp"
+#include "entry/process.hpp"
 
 #include <iostream>
 #include <string>
@@ -42,13 +46,39 @@
     return exit_ok;
 }
 
+int serve(const command_line& line)
+{
+    failure why;
+    const auto values = read_settings(line.settings, why);
+    if (!values)
+    {
+        return report_failure(why);
+    }
+    start_log(values->log.level, values->log.destination);
+    if (!run_entry_vm(*values, line.settings, why))
+    {
+        report_failure(why);
+        return exit_failed;
+    }
+    return exit_ok;
+}
+
 int run(const command_line& line)
 {
     if (line.command == "check-settings")
     {
         return check_settings(line);
     }
-    return check_sheet_file(line);
+    if (line.command == "check-sheet")
+    {
+        return check_sheet_file(line);
+    }
+    if (line.command == "serve")
+    {
+        return serve(line);
+    }
+    api_client client(line.servers, line.token, line.timeout, send_over_http);
+    return run_remote(line, client, {std::cout, std::cerr});
 }
 
 } // namespace
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::size_t max_name_length = 64;
 
+// End of the year 9999; conversions of later times could overflow.
+constexpr std::int64_t latest_unix_ms = 253402300799000;
+
 std::string found_text(const Json::Value& json)
 {
     if (json.isObject())
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -237,6 +237,9 @@
     compare(running.limits.max_waiting,
             wanted.limits.max_waiting,
             "limits.max_waiting");
+    compare(running.limits.max_body_bytes,
+            wanted.limits.max_body_bytes,
+            "limits.max_body_bytes");
     compare(running.limits.stop_limit,
             wanted.limits.stop_limit,
             "limits.stop_limit_ms");
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -73,7 +73,7 @@
 std::optional<settings> read_settings(const std::string& file, failure& why);
 
 // Paths of the keys whose change needs a restart and that differ between the
-// two. Operators, log level and limits apply to a running process.
+// two. Operators and log level apply to a running process.
 std::vector<std::string> restart_keys(const settings& running,
                                       const settings& wanted);
 
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -5,8 +5,10 @@
 #include "config/sheet_file.hpp"
 #include "entry/replies.hpp"
 #include "entry/target.hpp"
+#include "http/json_reply.hpp"
 #include "model/codec.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 #include <utility>
@@ -20,6 +22,8 @@
 constexpr std::string_view bearer = "Bearer ";
 // Largest gang.
 constexpr int most_accelerators = 256;
+// End of the year 9999; conversions of later times could overflow.
+constexpr std::uint64_t latest_unix_ms = 253402300799000;
 
 // Takes the same time wherever the first difference is, so that a token cannot
 // be guessed character by character.
@@ -117,9 +121,9 @@
 {
 }
 
-void api::update(api_settings values)
+void api::set_operators(std::vector<operator_account> operators)
 {
-    values_ = std::move(values);
+    values_.operators = std::move(operators);
 }
 
 void api::begin_stop()
@@ -131,16 +135,6 @@
 {
     call item{std::move(request), {}, {}, {}, std::move(respond)};
     item.target = parse_target(item.request.target);
-    if (item.request.body.size() >
-        static_cast<std::size_t>(values_.max_body_bytes))
-    {
-        item.respond(make_reply({result_code::body_too_large,
-                                 "the body has " +
-                                     std::to_string(item.request.body.size()) +
-                                     " bytes; allowed: " +
-                                     std::to_string(values_.max_body_bytes)}));
-        return;
-    }
     failure why{result_code::not_found, "no such path"};
     for (const auto& candidate : routes())
     {
@@ -162,7 +156,7 @@
         }
         return;
     }
-    item.respond(make_reply(why));
+    item.respond(json_response(why));
 }
 
 std::optional<std::string> api::operator_of(const http_request& request) const
@@ -195,8 +189,8 @@
              "entry",
              "refused operator call without a valid token",
              {{"method", item.request.method}, {"path", item.request.target}});
-    item.respond(make_reply({result_code::unauthorized,
-                             "the call needs the token of an operator"}));
+    item.respond(json_response({result_code::unauthorized,
+                                "the call needs the token of an operator"}));
     return false;
 }
 
@@ -205,17 +199,18 @@
     const auto value = query_number(item.target, "wait_until", 0);
     if (!value)
     {
-        item.respond(make_reply({result_code::bad_request,
-                                 "wait_until: found " +
-                                     item.target.query.at("wait_until") +
-                                     "; allowed: Unix time in milliseconds"}));
+        item.respond(json_response(
+            {result_code::bad_request,
+             "wait_until: found " + item.target.query.at("wait_until") +
+                 "; allowed: Unix time in milliseconds"}));
         return std::nullopt;
     }
     if (*value == 0)
     {
         return now_();
     }
-    return clock_.from_unix(static_cast<std::int64_t>(*value));
+    const auto time = std::min(*value, latest_unix_ms);
+    return clock_.from_unix(static_cast<std::int64_t>(time));
 }
 
 void api::record(const job_reply& reply)
@@ -244,7 +239,7 @@
     auto request = read_job(item.request.body, clock_, why);
     if (!request)
     {
-        item.respond(make_reply(why));
+        item.respond(json_response(why));
         return;
     }
     control_.submit(
@@ -286,7 +281,7 @@
     const auto version = query_number(item.target, "expected_version", 0);
     if (!version)
     {
-        item.respond(make_reply(
+        item.respond(json_response(
             {result_code::bad_request, "expected_version: no number"}));
         return;
     }
@@ -294,16 +289,16 @@
     auto plan = parse_sheet(item.request.body, "sheet", why);
     if (!plan)
     {
-        item.respond(make_reply(why));
+        item.respond(json_response(why));
         return;
     }
     const auto current = control_.config().version;
     if (*version != 0 && *version != current)
     {
-        item.respond(make_reply({result_code::conflict,
-                                 "the configuration has version " +
-                                     std::to_string(current) + ", changed by " +
-                                     control_.config().changed_by}));
+        item.respond(json_response(
+            {result_code::conflict,
+             "the configuration has version " + std::to_string(current) +
+                 ", changed by " + control_.config().changed_by}));
         return;
     }
     if (item.target.query.count("dry_run") != 0)
@@ -384,7 +379,7 @@
 {
     Json::Value body;
     body["config"] = to_json(control_.config());
-    item.respond(make_reply({}, std::move(body)));
+    item.respond(json_response({}, std::move(body)));
 }
 
 void api::show_metrics(call& item)
@@ -408,7 +403,7 @@
     const failure state =
         stopping_ ? failure{result_code::vm_stopping, "the VM is stopping"}
                   : failure{};
-    item.respond(make_reply(state, std::move(body)));
+    item.respond(json_response(state, std::move(body)));
 }
 
 } // namespace poplarramp
--- a/src/entry/api.hpp
+++ b/src/entry/api.hpp
@@ -22,11 +22,10 @@
     std::string vm;
     std::string zone;
     std::vector<operator_account> operators;
-    int max_body_bytes = 1048576;
 };
 
 // Not thread safe; used on the control thread only. Must outlive every request
-// it was given.
+// it was given. The HTTP server limits the size of a body.
 class api
 {
 public:
@@ -40,8 +39,8 @@
     // Answers one request; `respond` is called exactly once.
     void handle(http_request request, responder respond);
 
-    // Puts reloaded operators and limits in force.
-    void update(api_settings values);
+    // Puts reloaded operators in force.
+    void set_operators(std::vector<operator_account> operators);
 
     // From now on `GET /health` tells load balancers to go elsewhere.
     void begin_stop();
--- a/src/entry/replies.cpp
+++ b/src/entry/replies.cpp
@@ -1,5 +1,6 @@
 #include "entry/replies.hpp"
 
+#include "http/json_reply.hpp"
 #include "model/codec.hpp"
 
 namespace poplarramp
@@ -8,8 +9,8 @@
 namespace
 {
 
+// Status of a reply about a job that has ended.
 constexpr int http_ok = 200;
-constexpr int http_accepted = 202;
 
 Json::Value to_json(std::uint64_t value)
 {
@@ -132,7 +133,7 @@
         }
     }
     body["incomplete"] = incomplete(zones);
-    return make_reply({}, std::move(body));
+    return json_response({}, std::move(body));
 }
 
 Json::Value zone_json(const zone_status& zone, const configuration& config)
@@ -159,94 +160,27 @@
 
 } // namespace
 
-int http_status(result_code code)
-{
-    switch (code)
-    {
-    case result_code::ok:
-    case result_code::job_failed:
-    case result_code::cancelled:
-    case result_code::outcome_unknown:
-        return http_ok;
-    case result_code::pending:
-        return http_accepted;
-    case result_code::bad_request:
-    case result_code::bad_settings:
-    case result_code::bad_sheet:
-    case result_code::unknown_customer:
-    case result_code::unknown_kind:
-    case result_code::unknown_zone:
-        return 400;
-    case result_code::unauthorized:
-        return 401;
-    case result_code::not_found:
-    case result_code::unknown_task:
-        return 404;
-    case result_code::method_not_allowed:
-        return 405;
-    case result_code::key_reused:
-    case result_code::conflict:
-    case result_code::stale_epoch:
-    case result_code::lease_held:
-    case result_code::wrong_state:
-        return 409;
-    case result_code::body_too_large:
-        return 413;
-    case result_code::never_fits:
-        return 422;
-    case result_code::queue_full:
-        return 429;
-    case result_code::internal_error:
-        return 500;
-    case result_code::unreachable:
-        return 502;
-    case result_code::shed:
-    case result_code::store_unavailable:
-    case result_code::zone_closed:
-    case result_code::vm_stopping:
-    case result_code::retries_exhausted:
-    case result_code::server_full:
-    case result_code::circuit_open:
-        return 503;
-    case result_code::timeout:
-    case result_code::answer_lost:
-        return 504;
-    }
-    return 500;
-}
-
 result_code code_of_job(const job& item)
 {
     return is_final(item.outcome.state) ? item.outcome.code
                                         : result_code::pending;
 }
 
-http_response make_reply(const failure& result, Json::Value body)
-{
-    body["code"] = static_cast<int>(result.code);
-    body["result"] = std::string(name_of(result.code));
-    if (!result.reason.empty())
-    {
-        body["reason"] = result.reason;
-    }
-    http_response response;
-    response.status = http_status(result.code);
-    response.body = json_text(body);
-    return response;
-}
-
 http_response job_response(const job_reply& reply, const clock_mapping& clock)
 {
     if (reply.error)
     {
-        return make_reply(reply.error);
+        return json_response(reply.error);
     }
     const auto code = code_of_job(reply.item);
     Json::Value body;
     body["job"] = job_json(reply, clock);
     auto response =
-        make_reply({code, reply.item.outcome.reason}, std::move(body));
-    response.status = code == result_code::pending ? http_accepted : http_ok;
+        json_response({code, reply.item.outcome.reason}, std::move(body));
+    if (code != result_code::pending)
+    {
+        response.status = http_ok;
+    }
     return response;
 }
 
@@ -256,7 +190,7 @@
     body["version"] = to_json(reply.version);
     body["confirmed"] = to_json(reply.confirmed);
     body["unconfirmed"] = to_json(reply.unconfirmed);
-    return make_reply(reply.error, std::move(body));
+    return json_response(reply.error, std::move(body));
 }
 
 http_response zones_response(std::span<const zone_status> zones,
@@ -269,7 +203,7 @@
         body["zones"].append(zone_json(zone, config));
     }
     body["incomplete"] = incomplete(zones);
-    return make_reply({}, std::move(body));
+    return json_response({}, std::move(body));
 }
 
 http_response servers_response(std::span<const zone_status> zones)
@@ -295,7 +229,7 @@
     {
         body["vms"].append(to_json(row));
     }
-    return make_reply({}, std::move(body));
+    return json_response({}, std::move(body));
 }
 
 } // namespace poplarramp
--- a/src/entry/replies.hpp
+++ b/src/entry/replies.hpp
@@ -18,16 +18,9 @@
 
 // All functions are thread safe.
 
-// HTTP status for a result code, listed in docs/result-codes.md.
-int http_status(result_code code);
-
 // Code of a job on its way or at its end: `pending` until it has ended.
 result_code code_of_job(const job& item);
 
-// `body` with "code", "result" and "reason" added.
-http_response make_reply(const failure& result,
-                         Json::Value body = Json::Value(Json::objectValue));
-
 // The status is 200 for every job that has ended, however it ended, and 202
 // for one that has not, so that it says whether this call succeeded.
 http_response job_response(const job_reply& reply, const clock_mapping& clock);
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -2,7 +2,7 @@
 #include "config/json_file.hpp"
 #include "config/settings.hpp"
 #include "config/sheet_file.hpp"
-#include "entry/replies.hpp"
+#include "http/json_reply.hpp"
 
 #include <algorithm>
 #include <string>
@@ -79,7 +79,7 @@
         const auto code = static_cast<result_code>(number);
         const auto row = "\n| " + std::to_string(number) + " | `" +
                          std::string(name_of(code)) + "` | " +
-                         std::to_string(http_status(code)) + " | ";
+                         std::to_string(http_status_of(code)) + " | ";
         CHECK_TEXT(text.find(row) != std::string::npos, row.c_str());
         ++rows;
     }
