--- /dev/null
+++ b/src/control/config_change.cpp
@@ -0,0 +1,412 @@
+#include "control/config_change.hpp"
+
+#include "base/log.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// An entry VM that has not answered by then counts as not reached; the write
+// does not wait for it.
+constexpr milliseconds closing_limit{500};
+constexpr milliseconds table_limit{2000};
+constexpr milliseconds push_limit{1000};
+constexpr milliseconds confirm_limit{2000};
+
+// The operator is answered by the end of this and the confirmations.
+constexpr milliseconds write_limit{5000};
+constexpr milliseconds repeat_interval{250};
+
+// Each round follows a change by somebody else; more than a few in a row mean a
+// race, which the compare-and-swap decides.
+constexpr int max_closing_rounds = 3;
+
+bool was_not_made(const failure& error)
+{
+    return error.code == result_code::store_unavailable ||
+           error.code == result_code::circuit_open;
+}
+
+std::string winner_text(const configuration& winner)
+{
+    return "changed by " +
+           (winner.changed_by.empty() ? "somebody else" : winner.changed_by) +
+           " to version " + std::to_string(winner.version);
+}
+
+} // namespace
+
+config_change::config_change(config_change_hooks hooks,
+                             config_edit edit,
+                             std::function<void(change_reply)> done)
+    : hooks_(std::move(hooks)), edit_(std::move(edit)), done_(std::move(done)),
+      write_until_(hooks_.now() + write_limit)
+{
+    token_ = hooks_.vm + "-" + std::to_string(hooks_.random());
+    confirmed_.insert(hooks_.vm);
+}
+
+bool config_change::finished() const
+{
+    return step_ == step::finished;
+}
+
+const config_edit& config_change::edit() const
+{
+    return edit_;
+}
+
+void config_change::start()
+{
+    if (edit_.closed_zone.empty() || edit_.background)
+    {
+        read_row();
+        return;
+    }
+    send_closings();
+}
+
+template <class Reply>
+std::function<void(Reply)>
+config_change::completion(void (config_change::*action)(const Reply&))
+{
+    return [weak = weak_from_this(), action](const Reply& reply)
+    {
+        const auto self = weak.lock();
+        if (self && !self->finished())
+        {
+            (self.get()->*action)(reply);
+        }
+    };
+}
+
+// Closes the availability zone here and at every entry VM that can be reached.
+void config_change::send_closings()
+{
+    step_ = step::closing;
+    ++closing_rounds_;
+    closing_base_ = hooks_.view->current().version;
+    const provisional_closing closing{
+        edit_.closed_zone, edit_.changed_by, closing_base_};
+    hooks_.view->add_closing(closing, hooks_.now());
+    hooks_.on_view_changed();
+    const auto peers = hooks_.members->must_confirm(hooks_.now());
+    closings_open_ = peers.size();
+    step_until_ = hooks_.now() + closing_limit;
+    if (peers.empty())
+    {
+        read_row();
+        return;
+    }
+    for (const auto& peer : peers)
+    {
+        hooks_.peers.close_zone(peer.address,
+                                closing,
+                                hooks_.now() + closing_limit,
+                                [weak = weak_from_this(),
+                                 vm = peer.id,
+                                 round = closing_rounds_](const failure& error)
+                                {
+                                    const auto self = weak.lock();
+                                    if (self && self->closing_rounds_ == round)
+                                    {
+                                        self->on_closing_answered(vm, error);
+                                    }
+                                });
+    }
+}
+
+void config_change::on_closing_answered(const std::string& vm,
+                                        const failure& error)
+{
+    if (!error)
+    {
+        confirmed_.insert(vm);
+    }
+    --closings_open_;
+    if (closings_open_ == 0 && step_ == step::closing)
+    {
+        read_row();
+    }
+}
+
+void config_change::read_row()
+{
+    step_ = step::writing;
+    step_until_ = write_until_;
+    hooks_.store.read(config_row_key,
+                      hooks_.now() + table_limit,
+                      completion<table_read_reply>(&config_change::on_row));
+}
+
+void config_change::on_row(const table_read_reply& reply)
+{
+    failure why;
+    const auto row =
+        reply.error ? std::nullopt : decode_config_row(reply.row, why);
+    if (!row)
+    {
+        on_store_error(reply.error ? reply.error : why);
+        return;
+    }
+    adopt(row->config);
+    // Somebody changed the configuration since the closing was sent, which ends
+    // the closing wherever the change is known.
+    const bool ended = !edit_.closed_zone.empty() && !edit_.background &&
+                       hooks_.view->current().version > closing_base_;
+    if (ended && closing_rounds_ < max_closing_rounds)
+    {
+        send_closings();
+        return;
+    }
+    write_on(*row);
+}
+
+void config_change::write_on(const config_row& base)
+{
+    base_ = base;
+    // A row that is older than what was read before must not set it back.
+    target_ = hooks_.view->current();
+    const auto error = edit_.apply(target_);
+    if (error)
+    {
+        finish(error);
+        return;
+    }
+    // Provisional closings of other operators would end with a newer
+    // configuration that does not contain them.
+    for (const auto& closing : hooks_.view->closings())
+    {
+        if (closing.zone != edit_.opened_zone &&
+            find_zone(target_.plan, closing.zone) != nullptr)
+        {
+            target_.zones[closing.zone] = zone_state::out;
+        }
+    }
+    target_.version = hooks_.view->current().version + 1;
+    target_.changed_by = edit_.changed_by;
+    table_change change{config_row_key,
+                        encode_config_row(target_, base.recent, token_),
+                        base.row_version,
+                        false};
+    write_open_ = true;
+    hooks_.store.write(
+        {std::move(change)},
+        hooks_.now() + table_limit,
+        completion<table_write_reply>(&config_change::on_written));
+}
+
+void config_change::on_written(const table_write_reply& reply)
+{
+    write_open_ = false;
+    if (!reply.error)
+    {
+        push();
+        return;
+    }
+    if (was_not_made(reply.error))
+    {
+        on_store_error(reply.error);
+        return;
+    }
+    if (reply.error.code != result_code::conflict)
+    {
+        uncertain_ = true;
+    }
+    read_back();
+}
+
+void config_change::read_back()
+{
+    hooks_.store.read(
+        config_row_key,
+        hooks_.now() + table_limit,
+        completion<table_read_reply>(&config_change::on_read_back));
+}
+
+void config_change::on_read_back(const table_read_reply& reply)
+{
+    failure why;
+    const auto row =
+        reply.error ? std::nullopt : decode_config_row(reply.row, why);
+    if (!row)
+    {
+        repeat_later(&config_change::read_back);
+        return;
+    }
+    if (was_written(*row, token_))
+    {
+        adopt(row->config);
+        push();
+        return;
+    }
+    if (row->row_version == base_.row_version)
+    {
+        // The write has not taken effect so far. It may still arrive; the same
+        // compare-and-swap again succeeds once at most.
+        uncertain_ ? write_on(*row) : repeat_later(&config_change::read_back);
+        return;
+    }
+    lose(*row);
+}
+
+void config_change::lose(const config_row& winner)
+{
+    adopt(winner.config);
+    finish({result_code::conflict, winner_text(winner.config)});
+}
+
+void config_change::on_store_error(const failure& error)
+{
+    if (uncertain_)
+    {
+        repeat_later(&config_change::read_back);
+        return;
+    }
+    if (was_not_made(error))
+    {
+        give_up(error.reason);
+        return;
+    }
+    repeat_later(&config_change::read_row);
+}
+
+void config_change::repeat_later(void (config_change::*action)())
+{
+    repeat_ = action;
+    repeat_at_ = hooks_.now() + repeat_interval;
+}
+
+// The change could not be made durable in time, or it is not known whether it
+// was.
+void config_change::give_up(const std::string& reason)
+{
+    if (!edit_.closed_zone.empty())
+    {
+        finish(
+            {result_code::pending,
+             "closed where it was confirmed, but not yet durable: " + reason});
+        return;
+    }
+    if (uncertain_ || write_open_)
+    {
+        finish({result_code::answer_lost,
+                "it is not known whether the change was written; look at the "
+                "configuration and repeat the change if needed"});
+        return;
+    }
+    finish({result_code::store_unavailable, "nothing was changed: " + reason});
+}
+
+void config_change::push()
+{
+    adopt(target_);
+    log_line(log_level::info,
+             "config",
+             "A change was written.",
+             {{"version", std::to_string(target_.version)},
+              {"changed_by", target_.changed_by}});
+    step_ = step::confirming;
+    step_until_ = hooks_.now() + confirm_limit;
+    repeat_at_ = no_deadline;
+    confirmed_ = {hooks_.vm};
+    for (const auto& peer : hooks_.members->must_confirm(hooks_.now()))
+    {
+        hooks_.peers.put_config(
+            peer.address,
+            hooks_.view->current(),
+            hooks_.now() + push_limit,
+            [weak = weak_from_this(), vm = peer.id](const failure& error)
+            {
+                const auto self = weak.lock();
+                if (self && !error && !self->finished())
+                {
+                    self->confirmed_.insert(vm);
+                    self->check_confirmations();
+                }
+            });
+    }
+    check_confirmations();
+}
+
+// Answers when every entry VM has the version, or at the end of the wait.
+void config_change::check_confirmations()
+{
+    if (step_ != step::confirming)
+    {
+        return;
+    }
+    bool all = true;
+    for (const auto& peer : hooks_.members->must_confirm(hooks_.now()))
+    {
+        if (peer.config_version >= target_.version)
+        {
+            confirmed_.insert(peer.id);
+        }
+        all = all && confirmed_.contains(peer.id);
+    }
+    if (all)
+    {
+        finish({});
+    }
+    else if (hooks_.now() >= step_until_)
+    {
+        finish({result_code::pending,
+                "durable, but not confirmed by every entry VM"});
+    }
+}
+
+void config_change::finish(failure error)
+{
+    step_ = step::finished;
+    change_reply reply;
+    reply.error = std::move(error);
+    reply.version = hooks_.view->current().version;
+    reply.confirmed.assign(confirmed_.begin(), confirmed_.end());
+    for (const auto& peer : hooks_.members->must_confirm(hooks_.now()))
+    {
+        if (!confirmed_.contains(peer.id))
+        {
+            reply.unconfirmed.push_back(peer.id);
+        }
+    }
+    done_(std::move(reply));
+}
+
+void config_change::adopt(const configuration& config)
+{
+    if (hooks_.view->adopt(config))
+    {
+        hooks_.on_view_changed();
+    }
+}
+
+void config_change::tick()
+{
+    const auto now = hooks_.now();
+    if (step_ == step::closing && now >= step_until_)
+    {
+        read_row();
+    }
+    else if (step_ == step::writing && now >= write_until_)
+    {
+        give_up("the table does not answer");
+    }
+    else if (step_ == step::writing && now >= repeat_at_)
+    {
+        repeat_at_ = no_deadline;
+        (this->*repeat_)();
+    }
+    else if (step_ == step::confirming)
+    {
+        check_confirmations();
+    }
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/control/config_change.hpp
@@ -0,0 +1,121 @@
+// One operator's change of the configuration, from the provisional closing to
+// the confirmations of the entry VMs.
+#ifndef POPLARRAMP_CONTROL_CONFIG_CHANGE_HPP
+#define POPLARRAMP_CONTROL_CONFIG_CHANGE_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+#include "control/config_row.hpp"
+#include "control/config_state.hpp"
+#include "control/controller.hpp"
+#include "control/membership.hpp"
+#include "inner/peer_api.hpp"
+#include "platform/table.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace poplarramp
+{
+
+struct config_change_hooks
+{
+    table store;
+    peer_api peers;
+    std::function<time_point()> now;
+    std::function<std::uint64_t()> random;
+    // This entry VM's own view, changed by the change.
+    config_state* view = nullptr;
+    const membership* members = nullptr;
+    std::string vm;
+    // The view has changed; the scheduler must learn of it.
+    std::function<void()> on_view_changed;
+};
+
+struct config_edit
+{
+    // Changes the configuration that is in force, or says why it cannot.
+    std::function<failure(configuration&)> apply;
+    std::string changed_by;
+    // Availability zone that is closed at the reachable entry VMs before the
+    // write; empty: none.
+    std::string closed_zone;
+    // Availability zone that the change opens; provisional closings of it end.
+    std::string opened_zone;
+    // Written on behalf of an operator who was answered before: asks and
+    // answers nobody.
+    bool background = false;
+};
+
+// Not thread safe; used on the control thread only. The pointers in `hooks`
+// outlive the change.
+class config_change : public std::enable_shared_from_this<config_change>
+{
+public:
+    // `done` is called exactly once, possibly before `start` returns.
+    config_change(config_change_hooks hooks,
+                  config_edit edit,
+                  std::function<void(change_reply)> done);
+
+    void start();
+    void tick();
+    bool finished() const;
+    const config_edit& edit() const;
+
+private:
+    enum class step
+    {
+        closing,
+        writing,
+        confirming,
+        finished,
+    };
+
+    void send_closings();
+    void on_closing_answered(const std::string& vm, const failure& error);
+    void read_row();
+    void on_row(const table_read_reply& reply);
+    void write_on(const config_row& base);
+    void on_written(const table_write_reply& reply);
+    void read_back();
+    void on_read_back(const table_read_reply& reply);
+    void lose(const config_row& winner);
+    void on_store_error(const failure& error);
+    void give_up(const std::string& reason);
+    void push();
+    void check_confirmations();
+    void finish(failure error);
+    void adopt(const configuration& config);
+    void repeat_later(void (config_change::*action)());
+    template <class Reply>
+    std::function<void(Reply)>
+    completion(void (config_change::*action)(const Reply&));
+
+    config_change_hooks hooks_;
+    config_edit edit_;
+    std::function<void(change_reply)> done_;
+    step step_ = step::closing;
+    time_point write_until_;
+    // End of the current step, if it has one.
+    time_point step_until_ = no_deadline;
+    time_point repeat_at_ = no_deadline;
+    void (config_change::*repeat_)() = nullptr;
+    int closing_rounds_ = 0;
+    std::size_t closings_open_ = 0;
+    std::uint64_t closing_base_ = 0;
+    std::string token_;
+    config_row base_;
+    configuration target_;
+    // A write was sent whose effect is not known.
+    bool uncertain_ = false;
+    // A write is under way.
+    bool write_open_ = false;
+    std::set<std::string> confirmed_;
+};
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/control/config_state.cpp
@@ -0,0 +1,113 @@
+#include "control/config_state.hpp"
+
+#include <algorithm>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// More availability zones than a sheet has; bounds what a broken peer can add.
+constexpr std::size_t max_closings = 256;
+
+} // namespace
+
+bool is_in_service(const configuration& config, std::string_view zone)
+{
+    const auto found = config.zones.find(std::string(zone));
+    if (found != config.zones.end() && found->second == zone_state::out)
+    {
+        return false;
+    }
+    return find_zone(config.plan, zone) != nullptr;
+}
+
+const configuration& config_state::current() const
+{
+    return current_;
+}
+
+bool config_state::adopt(const configuration& config)
+{
+    if (config.version <= current_.version)
+    {
+        return false;
+    }
+    current_ = config;
+    std::erase_if(closings_,
+                  [this](const auto& entry)
+                  { return settles(entry.second.closing); });
+    return true;
+}
+
+void config_state::confirm(time_point at)
+{
+    confirmed_at_ = std::max(confirmed_at_, at);
+}
+
+time_point config_state::confirmed_at() const
+{
+    return confirmed_at_;
+}
+
+bool config_state::add_closing(const provisional_closing& closing,
+                               time_point now)
+{
+    if (settles(closing))
+    {
+        return false;
+    }
+    const auto known = closings_.find(closing.zone);
+    if (known == closings_.end())
+    {
+        if (closings_.size() >= max_closings)
+        {
+            return false;
+        }
+        closings_.emplace(closing.zone, held_closing{closing, now});
+        return true;
+    }
+    if (known->second.closing.base_version >= closing.base_version)
+    {
+        return false;
+    }
+    known->second.closing = closing;
+    return true;
+}
+
+std::vector<provisional_closing> config_state::closings() const
+{
+    return closings_since(time_point::max());
+}
+
+std::vector<provisional_closing>
+config_state::closings_since(time_point since) const
+{
+    std::vector<provisional_closing> result;
+    for (const auto& [zone, held] : closings_)
+    {
+        if (held.since <= since)
+        {
+            result.push_back(held.closing);
+        }
+    }
+    return result;
+}
+
+bool config_state::is_open(std::string_view zone) const
+{
+    return is_in_service(current_, zone) && !closings_.contains(zone);
+}
+
+// A closing is settled by a configuration that has the availability zone out,
+// and by a later one that was written with it in service.
+bool config_state::settles(const provisional_closing& closing) const
+{
+    const auto state = current_.zones.find(closing.zone);
+    const bool out =
+        state != current_.zones.end() && state->second == zone_state::out;
+    return out || current_.version > closing.base_version;
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/control/controller.cpp
@@ -0,0 +1,638 @@
+#include "control/controller.hpp"
+
+#include "base/log.hpp"
+#include "control/config_change.hpp"
+#include "control/config_sync.hpp"
+#include "control/control_context.hpp"
+#include "control/heartbeats.hpp"
+#include "control/job_ledger.hpp"
+#include "control/submission.hpp"
+#include "control/waiters.hpp"
+#include "control/zone_calls.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// After the start: long enough to hear every entry VM of the availability zone.
+constexpr milliseconds listen_time{1500};
+
+constexpr milliseconds job_done_limit{1000};
+
+// A cancellation is answered with the outcome if the job ends within this.
+constexpr milliseconds cancel_wait{5000};
+
+// An operator's own entry VM writes the closing for 5 s; others take it over
+// after that. The random part keeps them from all writing at once.
+constexpr milliseconds take_over_after{6000};
+constexpr std::uint64_t take_over_spread_ms = 2000;
+constexpr milliseconds background_interval{1000};
+
+// A read that failed says nothing of the job; a code that means "not run" would
+// be taken for its outcome.
+failure read_failure_for_caller(const failure& error)
+{
+    if (is_not_run(error.code))
+    {
+        return {result_code::circuit_open, error.reason};
+    }
+    return error;
+}
+
+failure job_not_found()
+{
+    return {result_code::not_found, "no job was accepted under this key"};
+}
+
+bool is_zone_in(const configuration& config, const std::string& zone)
+{
+    return find_zone(config.plan, zone) != nullptr;
+}
+
+} // namespace
+
+struct controller::state : std::enable_shared_from_this<controller::state>
+{
+    state(controller_settings settings, controller_hooks hooks)
+        : context{settings,
+                  hooks,
+                  membership(settings.vm,
+                             settings.zone,
+                             settings.address,
+                             hooks.now() + listen_time),
+                  {},
+                  {},
+                  {}}
+    {
+    }
+
+    void start();
+    zone_scheduler_hooks scheduler_hooks();
+    waiter_hooks make_waiter_hooks();
+    config_change_hooks change_hooks();
+
+    void apply_view();
+    void follow_membership();
+    void on_job_ended(const job& item);
+
+    void read_job(const std::string& customer,
+                  const std::string& key,
+                  const waiting_caller& caller,
+                  bool cancel);
+    void on_job_row(const std::string& id,
+                    const job_read_reply& row,
+                    const waiting_caller& caller,
+                    bool cancel);
+
+    void start_change(config_edit edit, std::function<void(change_reply)> done);
+    void write_old_closings();
+    void tick_changes();
+
+    void check_stopped();
+
+    control_context context;
+    std::shared_ptr<heartbeats> beats;
+    std::shared_ptr<config_sync> sync;
+    std::shared_ptr<zone_calls> zones;
+    std::shared_ptr<job_ledger> ledger;
+    std::shared_ptr<waiters> waiting;
+    std::shared_ptr<submission> submissions;
+    std::vector<std::shared_ptr<config_change>> changes;
+    time_point next_background{};
+    milliseconds take_over_delay{take_over_after};
+    // Operators' requests that have not been answered.
+    int open_changes = 0;
+    int open_reads = 0;
+    bool stopping = false;
+    bool released = false;
+    time_point stop_until = no_deadline;
+    std::function<void()> stopped;
+};
+
+void controller::state::start()
+{
+    const auto weak = weak_from_this();
+    context.on_view_changed = [weak]
+    {
+        if (const auto self = weak.lock())
+        {
+            self->apply_view();
+        }
+    };
+    auto hooks = scheduler_hooks();
+    context.scheduler = context.hooks.make_scheduler
+                            ? context.hooks.make_scheduler(std::move(hooks))
+                            : make_local_scheduler(context.settings.vm,
+                                                   context.settings.zone,
+                                                   std::move(hooks));
+    sync = std::make_shared<config_sync>(context);
+    beats = std::make_shared<heartbeats>(
+        context,
+        [weak](const heartbeat& message, time_point valid_at)
+        {
+            if (const auto self = weak.lock())
+            {
+                self->sync->on_peer(message, valid_at);
+            }
+        });
+    zones = std::make_shared<zone_calls>(context);
+    ledger = std::make_shared<job_ledger>(ledger_hooks{
+        context.hooks.store, context.hooks.now, context.hooks.clock});
+    waiting = std::make_shared<waiters>(make_waiter_hooks(),
+                                        context.settings.max_waiting);
+    submissions = std::make_shared<submission>(context, ledger, waiting, zones);
+    take_over_delay +=
+        milliseconds(context.hooks.random() % take_over_spread_ms);
+    apply_view();
+}
+
+zone_scheduler_hooks controller::state::scheduler_hooks()
+{
+    const auto weak = weak_from_this();
+    zone_scheduler_hooks hooks;
+    hooks.store = context.hooks.store;
+    hooks.backend = context.hooks.backend;
+    hooks.now = context.hooks.now;
+    hooks.config_confirmed_at = [weak]
+    {
+        const auto self = weak.lock();
+        return self ? self->context.view.confirmed_at() : time_point{};
+    };
+    hooks.on_job_ended = [weak](const job& item)
+    {
+        if (const auto self = weak.lock())
+        {
+            self->on_job_ended(item);
+        }
+    };
+    return hooks;
+}
+
+waiter_hooks controller::state::make_waiter_hooks()
+{
+    waiter_hooks hooks;
+    hooks.now = context.hooks.now;
+    hooks.objects = context.hooks.objects;
+    hooks.scheduler_of = [this](const std::string& zone)
+    {
+        return context.members.scheduler_of(zone, context.now());
+    };
+    hooks.enqueue = [this](const scheduler_place& place,
+                           const job& item,
+                           std::function<void(failure)> done)
+    {
+        zones->enqueue(place, item, std::move(done));
+    };
+    hooks.cancel = [this](const scheduler_place& place,
+                          const std::string& id,
+                          std::function<void(failure)> done)
+    {
+        zones->cancel(place, id, std::move(done));
+    };
+    hooks.job_status = [this](const scheduler_place& place,
+                              const std::string& id,
+                              std::function<void(job_status_reply)> done)
+    {
+        zones->job_status(place, id, std::move(done));
+    };
+    hooks.read_row =
+        [this](const std::string& id, std::function<void(job_read_reply)> done)
+    {
+        ledger->read(id, std::move(done));
+    };
+    hooks.end_unstarted = [this](const std::string& id,
+                                 const job_outcome& outcome,
+                                 std::function<void(job_read_reply)> done)
+    {
+        ledger->end_unstarted(id, outcome, std::move(done));
+    };
+    return hooks;
+}
+
+config_change_hooks controller::state::change_hooks()
+{
+    config_change_hooks hooks;
+    hooks.store = context.hooks.store;
+    hooks.peers = context.hooks.peers;
+    hooks.now = context.hooks.now;
+    hooks.random = context.hooks.random;
+    hooks.view = &context.view;
+    hooks.members = &context.members;
+    hooks.vm = context.settings.vm;
+    hooks.on_view_changed = context.on_view_changed;
+    return hooks;
+}
+
+// Hands the view of the configuration to the scheduler at once, active or not,
+// so that it never becomes active with an old one.
+void controller::state::apply_view()
+{
+    context.scheduler.set_configuration(
+        context.view.current(), context.view.is_open(context.settings.zone));
+}
+
+// Becomes scheduler, or stops being it, as the membership says.
+void controller::state::follow_membership()
+{
+    const auto place =
+        context.members.scheduler_of(context.settings.zone, context.now());
+    const bool wanted = place && place->vm == context.settings.vm;
+    if (wanted == context.scheduler.active())
+    {
+        return;
+    }
+    log_line(log_level::info,
+             "sched",
+             wanted ? "This VM becomes the scheduler."
+                    : "This VM is no longer the scheduler.",
+             {{"zone", context.settings.zone}});
+    if (wanted)
+    {
+        context.scheduler.activate();
+    }
+    else
+    {
+        context.scheduler.deactivate([] {});
+    }
+}
+
+void controller::state::on_job_ended(const job& item)
+{
+    const auto id = job_id(item.request);
+    waiting->on_ended(id, item.outcome);
+    if (item.origin_vm == context.settings.vm)
+    {
+        return;
+    }
+    for (const auto& peer : context.members.peers())
+    {
+        if (peer.id == item.origin_vm && !peer.address.empty())
+        {
+            // A lost message is made up for by the peer, which polls.
+            context.hooks.peers.job_done(peer.address,
+                                         id,
+                                         item.outcome,
+                                         context.now() + job_done_limit,
+                                         [](const failure&) {});
+        }
+    }
+}
+
+void controller::state::read_job(const std::string& customer,
+                                 const std::string& key,
+                                 const waiting_caller& caller,
+                                 bool cancel)
+{
+    const auto id = customer + "/" + key;
+    if (const auto* known = waiting->find(id))
+    {
+        waiting->watch({{}, *known, false, true}, caller, cancel);
+        return;
+    }
+    ++open_reads;
+    ledger->read(
+        id,
+        [weak = weak_from_this(), id, caller, cancel](const job_read_reply& row)
+        {
+            if (const auto self = weak.lock())
+            {
+                --self->open_reads;
+                self->on_job_row(id, row, caller, cancel);
+            }
+        });
+}
+
+void controller::state::on_job_row(const std::string& id,
+                                   const job_read_reply& row,
+                                   const waiting_caller& caller,
+                                   bool cancel)
+{
+    job_reply reply;
+    if (row.error)
+    {
+        reply.error = read_failure_for_caller(row.error);
+        caller.done(std::move(reply));
+        return;
+    }
+    if (!row.item)
+    {
+        reply.error = job_not_found();
+        caller.done(std::move(reply));
+        return;
+    }
+    const bool ended = is_final(row.item->outcome.state);
+    if (!ended && waiting->find(id) == nullptr && waiting->full())
+    {
+        reply.error = {result_code::pending,
+                       "too many callers wait at this entry VM"};
+        reply.item = *row.item;
+        caller.done(std::move(reply));
+        return;
+    }
+    waiting->watch({{}, *row.item, false, true}, caller, cancel && !ended);
+}
+
+void controller::state::start_change(config_edit edit,
+                                     std::function<void(change_reply)> done)
+{
+    ++open_changes;
+    auto change = std::make_shared<config_change>(
+        change_hooks(),
+        std::move(edit),
+        [weak = weak_from_this(), done = std::move(done)](change_reply reply)
+        {
+            if (const auto self = weak.lock())
+            {
+                --self->open_changes;
+            }
+            done(std::move(reply));
+        });
+    changes.push_back(change);
+    change->start();
+}
+
+// Makes closings durable whose operator's entry VM has not, because the table
+// was down or the VM is gone.
+void controller::state::write_old_closings()
+{
+    const auto now = context.now();
+    if (now < next_background || !sync->table_answers() || !changes.empty())
+    {
+        return;
+    }
+    next_background = now + background_interval;
+    const auto old = context.view.closings_since(now - take_over_delay);
+    if (old.empty())
+    {
+        return;
+    }
+    config_edit edit;
+    edit.apply = [](configuration&)
+    {
+        return failure{};
+    };
+    edit.changed_by = old.front().changed_by;
+    edit.closed_zone = old.front().zone;
+    edit.background = true;
+    start_change(std::move(edit), [](const change_reply&) {});
+}
+
+void controller::state::tick_changes()
+{
+    const auto running = changes;
+    for (const auto& change : running)
+    {
+        if (!change->finished())
+        {
+            change->tick();
+        }
+    }
+    std::erase_if(changes,
+                  [](const auto& change) { return change->finished(); });
+}
+
+void controller::state::check_stopped()
+{
+    if (!stopping || !stopped)
+    {
+        return;
+    }
+    const bool quiet = released && waiting->size() == 0 &&
+                       submissions->open() == 0 && open_changes == 0 &&
+                       open_reads == 0;
+    if (!quiet && context.now() < stop_until)
+    {
+        return;
+    }
+    waiting->answer_all();
+    const auto done = std::exchange(stopped, nullptr);
+    done();
+}
+
+controller::controller(controller_settings settings, controller_hooks hooks)
+    : state_(std::make_shared<state>(std::move(settings), std::move(hooks)))
+{
+    state_->start();
+}
+
+controller::~controller() = default;
+
+void controller::submit(job_request request,
+                        time_point wait_until,
+                        std::function<void(job_reply)> done)
+{
+    state_->submissions->submit(request, {wait_until, std::move(done)});
+}
+
+void controller::get_job(std::string customer,
+                         std::string key,
+                         time_point wait_until,
+                         std::function<void(job_reply)> done)
+{
+    state_->read_job(customer, key, {wait_until, std::move(done)}, false);
+}
+
+void controller::cancel_job(std::string customer,
+                            std::string key,
+                            std::function<void(job_reply)> done)
+{
+    const auto wait_until = state_->context.now() + cancel_wait;
+    state_->read_job(customer, key, {wait_until, std::move(done)}, true);
+}
+
+void controller::apply_sheet(sheet plan,
+                             std::uint64_t expected_version,
+                             std::string changed_by,
+                             std::function<void(change_reply)> done)
+{
+    config_edit edit;
+    edit.changed_by = std::move(changed_by);
+    edit.apply =
+        [plan = std::move(plan), expected_version](configuration& config)
+    {
+        if (expected_version != 0 && config.version != expected_version)
+        {
+            return failure{result_code::conflict,
+                           "changed by " + config.changed_by + " to version " +
+                               std::to_string(config.version)};
+        }
+        config.plan = plan;
+        // A new availability zone is in service; states of known ones stay.
+        std::map<std::string, zone_state> states;
+        for (const auto& zone : plan.zones)
+        {
+            const auto known = config.zones.find(zone.name);
+            states[zone.name] =
+                known == config.zones.end() ? zone_state::open : known->second;
+        }
+        config.zones = std::move(states);
+        return failure{};
+    };
+    state_->start_change(std::move(edit), std::move(done));
+}
+
+void controller::set_zone(std::string zone,
+                          zone_state target,
+                          std::string changed_by,
+                          std::function<void(change_reply)> done)
+{
+    const auto unknown = [zone]
+    {
+        return failure{result_code::unknown_zone,
+                       "availability zone \"" + zone +
+                           "\" is not in the sheet"};
+    };
+    if (!is_zone_in(state_->context.view.current(), zone))
+    {
+        change_reply reply;
+        reply.error = unknown();
+        reply.version = state_->context.view.current().version;
+        done(std::move(reply));
+        return;
+    }
+    config_edit edit;
+    edit.changed_by = std::move(changed_by);
+    (target == zone_state::out ? edit.closed_zone : edit.opened_zone) = zone;
+    edit.apply = [zone, target, unknown](configuration& config)
+    {
+        if (!is_zone_in(config, zone))
+        {
+            return unknown();
+        }
+        config.zones[zone] = target;
+        return failure{};
+    };
+    state_->start_change(std::move(edit), std::move(done));
+}
+
+const configuration& controller::config() const
+{
+    return state_->context.view.current();
+}
+
+std::vector<vm_row> controller::vms() const
+{
+    const auto& context = state_->context;
+    std::vector<vm_row> rows;
+    rows.push_back({context.settings.vm,
+                    context.settings.zone,
+                    context.settings.address,
+                    context.members.leaving() ? "leaving" : "live",
+                    context.view.current().version});
+    for (const auto& peer : context.members.peers())
+    {
+        const auto seen_as = context.members.state_of(peer, context.now());
+        rows.push_back({peer.id,
+                        peer.zone,
+                        peer.address,
+                        std::string(name_of(seen_as)),
+                        peer.config_version});
+    }
+    return rows;
+}
+
+void controller::zone_statuses(
+    std::function<void(std::vector<zone_status>)> done)
+{
+    std::vector<std::string> names;
+    for (const auto& zone : state_->context.view.current().plan.zones)
+    {
+        names.push_back(zone.name);
+    }
+    state_->zones->statuses(names, std::move(done));
+}
+
+peer_handlers controller::handlers()
+{
+    auto* const self = state_.get();
+    peer_handlers result;
+    result.on_heartbeat = [self](const heartbeat& message)
+    {
+        return self->beats->on_heartbeat(message);
+    };
+    result.on_get_config = [self]
+    {
+        return config_reply{{}, self->context.view.current()};
+    };
+    result.on_put_config = [self](const configuration& config)
+    {
+        return self->sync->on_put_config(config);
+    };
+    result.on_close_zone = [self](const provisional_closing& closing)
+    {
+        if (self->context.view.add_closing(closing, self->context.now()))
+        {
+            self->apply_view();
+        }
+        return failure{};
+    };
+    result.on_enqueue = [self](const job& item)
+    {
+        return self->zones->enqueue_here(item);
+    };
+    result.on_cancel = [self](const std::string& id)
+    {
+        return self->zones->cancel_here(id);
+    };
+    result.on_job_status = [self](const std::string& id)
+    {
+        return self->zones->job_status_here(id);
+    };
+    result.on_job_done =
+        [self](const std::string& id, const job_outcome& outcome)
+    {
+        self->waiting->on_ended(id, outcome);
+        return failure{};
+    };
+    result.on_status = [self]
+    {
+        return self->zones->status_here();
+    };
+    return result;
+}
+
+void controller::tick()
+{
+    const auto keep = state_;
+    keep->beats->tick();
+    keep->sync->tick();
+    keep->follow_membership();
+    keep->context.scheduler.tick();
+    keep->ledger->tick();
+    keep->waiting->tick();
+    keep->write_old_closings();
+    keep->tick_changes();
+    keep->check_stopped();
+}
+
+void controller::begin_stop(std::function<void()> stopped)
+{
+    const auto keep = state_;
+    if (keep->stopping)
+    {
+        return;
+    }
+    log_line(log_level::info, "entry", "This VM stops.");
+    keep->stopping = true;
+    keep->stopped = std::move(stopped);
+    keep->stop_until = keep->context.now() + keep->context.settings.stop_limit;
+    keep->submissions->stop();
+    keep->context.members.set_leaving();
+    keep->beats->send_to_all();
+    keep->context.scheduler.deactivate(
+        [weak = std::weak_ptr(keep)]
+        {
+            if (const auto self = weak.lock())
+            {
+                self->released = true;
+            }
+        });
+}
+
+} // namespace poplarramp
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -6,6 +6,7 @@
 #include "backend/backend_api.hpp"
 #include "base/result.hpp"
 #include "base/time.hpp"
+#include "control/local_scheduler.hpp"
 #include "inner/peer_api.hpp"
 #include "model/config.hpp"
 #include "model/job.hpp"
@@ -46,6 +47,11 @@
     peer_api peers;
     std::function<time_point()> now;
     std::function<std::uint64_t()> random;
+    // Deadlines in the table and between VMs are Unix time.
+    clock_mapping clock = clock_mapping::of_this_process();
+    // Makes the scheduler of the own availability zone; empty: a
+    // `zone_scheduler`.
+    std::function<local_scheduler(zone_scheduler_hooks)> make_scheduler;
 };
 
 // Reply to a caller about one job.
--- /dev/null
+++ b/src/control/job_ledger.hpp
@@ -0,0 +1,112 @@
+// Rows of accepted jobs in the platform's table.
+#ifndef POPLARRAMP_CONTROL_JOB_LEDGER_HPP
+#define POPLARRAMP_CONTROL_JOB_LEDGER_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+#include "model/job.hpp"
+#include "platform/table.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace poplarramp
+{
+
+// "job/<customer>/<key>" and "open/<zone>/<customer>/<key>".
+std::string job_row_key(std::string_view job_id);
+std::string open_row_key(std::string_view zone, std::string_view job_id);
+
+struct ledger_hooks
+{
+    table store;
+    std::function<time_point()> now;
+    clock_mapping clock;
+};
+
+struct accept_reply
+{
+    // `key_reused`: the key belongs to a job with another request.
+    // `store_unavailable`: not accepted and will not be.
+    // `answer_lost`: the row may exist.
+    failure error;
+    // The accepted job, or the one that was accepted under the key before.
+    job item;
+    // False if `item` was accepted before.
+    bool is_new = false;
+    // The table has the row, or may have it.
+    bool row_may_exist = false;
+};
+
+struct job_read_reply
+{
+    failure error;
+    // Empty: the table has no such row.
+    std::optional<job> item;
+    std::uint64_t row_version = 0;
+};
+
+// True if both ask for the same work. The deadline may differ: a caller that
+// repeats a request computes it again.
+bool same_request(const job_request& first, const job_request& second);
+
+// Not thread safe; used on the control thread only. Calls `done` exactly once
+// unless the ledger is destroyed before.
+class job_ledger : public std::enable_shared_from_this<job_ledger>
+{
+public:
+    explicit job_ledger(ledger_hooks hooks);
+
+    // Inserts the job row and the index row in one transaction. A lost answer
+    // is read back by the token until `give_up_at`. While the table is down, an
+    // urgent idempotent job is accepted with `durable` false. Precondition:
+    // `item` has a token.
+    void accept(job item,
+                time_point give_up_at,
+                std::function<void(accept_reply)> done);
+
+    // Reads the row of a job.
+    void read(const std::string& job_id,
+              std::function<void(job_read_reply)> done);
+
+    // Ends a job that no scheduler has: writes the outcome and removes the
+    // index row, unless the row is final already or has an attempt. Replies
+    // with the row as it is afterwards; an error if that is not known.
+    void end_unstarted(const std::string& job_id,
+                       const job_outcome& outcome,
+                       std::function<void(job_read_reply)> done);
+
+    // Repeats reads whose time has come.
+    void tick();
+
+    // Accepts that have not been answered.
+    std::size_t accepting() const;
+
+private:
+    struct accepting_job;
+    using accept_ptr = std::shared_ptr<accepting_job>;
+
+    void write(const accept_ptr& entry);
+    void on_written(const accept_ptr& entry, const table_write_reply& reply);
+    void read_back(const accept_ptr& entry);
+    void on_read_back(const accept_ptr& entry, const job_read_reply& reply);
+    void on_store_down(const accept_ptr& entry, const failure& error);
+    void retry_later(const accept_ptr& entry);
+    void finish(const accept_ptr& entry, accept_reply reply);
+    void write_end(const job_read_reply& row,
+                   std::uint64_t index_version,
+                   const job_outcome& outcome,
+                   std::function<void(job_read_reply)> done);
+
+    ledger_hooks hooks_;
+    std::list<accept_ptr> accepting_;
+};
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/control/membership.cpp
@@ -0,0 +1,347 @@
+#include "control/membership.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// Five lost heartbeats of 300 ms.
+constexpr milliseconds suspect_after{1500};
+
+// Heartbeats between availability zones go to a random entry VM each second, so
+// a single VM is heard from less often.
+constexpr milliseconds suspect_other_zone_after{6000};
+
+// A silent VM that is not listed is still sent heartbeats for this long, so
+// that both sides of a healed partition find each other without the list.
+constexpr milliseconds forget_after{600000};
+
+// Several times the entry VMs of the target; bounds what a broken sender of
+// heartbeats under changing ids can add.
+constexpr std::size_t max_peers = 1000;
+
+std::uint64_t hash_of(std::string_view zone, std::string_view id)
+{
+    // FNV-1a, then the finalizer of splitmix64: the ids of VMs differ in few
+    // characters, which FNV-1a alone spreads poorly over the high bits.
+    std::uint64_t hash = 14695981039346656037ULL;
+    const auto add = [&hash](std::string_view text)
+    {
+        for (const char c : text)
+        {
+            hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+        }
+    };
+    add(zone);
+    add(std::string_view("\0", 1));
+    add(id);
+    hash = (hash ^ (hash >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    hash = (hash ^ (hash >> 27U)) * 0x94d049bb133111ebULL;
+    return hash ^ (hash >> 31U);
+}
+
+} // namespace
+
+std::string_view name_of(peer_state state)
+{
+    switch (state)
+    {
+    case peer_state::live:
+        return "live";
+    case peer_state::listed:
+        return "listed";
+    case peer_state::leaving:
+        return "leaving";
+    case peer_state::gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+std::string_view first_by_rendezvous(std::string_view zone,
+                                     std::span<const std::string_view> ids)
+{
+    std::string_view first;
+    std::uint64_t best = 0;
+    for (const auto id : ids)
+    {
+        const auto hash = hash_of(zone, id);
+        // Equal hashes are decided by the id, so that the order of `ids` does
+        // not matter.
+        if (first.empty() || hash > best || (hash == best && id < first))
+        {
+            first = id;
+            best = hash;
+        }
+    }
+    return first;
+}
+
+membership::membership(std::string vm,
+                       std::string zone,
+                       std::string address,
+                       time_point listen_until)
+    : vm_(std::move(vm)), zone_(std::move(zone)), address_(std::move(address)),
+      listen_until_(listen_until)
+{
+}
+
+void membership::set_list(std::span<const vm_member> members)
+{
+    backend_servers_.clear();
+    leaving_in_list_.clear();
+    listed_leaving_ = false;
+    for (auto& [id, peer] : peers_)
+    {
+        peer.listed = false;
+    }
+    for (const auto& member : members)
+    {
+        if (member.role == vm_role::backend_server)
+        {
+            backend_servers_.push_back(member);
+            continue;
+        }
+        if (member.id == vm_)
+        {
+            listed_leaving_ = member.leaving;
+            continue;
+        }
+        auto& peer = peers_[member.id];
+        peer.id = member.id;
+        peer.listed = true;
+        leaving_in_list_[member.id] = member.leaving;
+        // What the VM said of itself is younger than the list.
+        if (!peer.heard)
+        {
+            peer.zone = member.zone;
+            peer.address = member.address;
+        }
+    }
+}
+
+bool membership::on_heartbeat(const heartbeat& message, time_point now)
+{
+    if (message.vm == vm_ || message.vm.empty())
+    {
+        return false;
+    }
+    if (peers_.size() >= max_peers && !peers_.contains(message.vm))
+    {
+        return false;
+    }
+    auto& peer = peers_[message.vm];
+    const bool same_process = peer.incarnation == message.incarnation;
+    if (same_process && message.sequence <= peer.sequence)
+    {
+        return false;
+    }
+    // An incarnation begins with its start time. A lower one is a late message
+    // of the process before, unless the known one has gone silent: after a
+    // restart of the VM its clock starts again.
+    if (!same_process && message.incarnation < peer.incarnation &&
+        is_live(peer, now))
+    {
+        return false;
+    }
+    peer.id = message.vm;
+    peer.zone = message.zone;
+    peer.address = message.address;
+    peer.incarnation = message.incarnation;
+    peer.sequence = message.sequence;
+    peer.config_version = message.config_version;
+    peer.leaving = message.leaving;
+    peer.scheduler = message.scheduler;
+    peer.scheduler_address = message.scheduler_address;
+    peer.heard = now;
+    return true;
+}
+
+void membership::set_leaving()
+{
+    stopping_ = true;
+}
+
+bool membership::leaving() const
+{
+    return stopping_ || listed_leaving_;
+}
+
+std::optional<scheduler_place> membership::scheduler_of(std::string_view zone,
+                                                        time_point now) const
+{
+    if (zone != zone_)
+    {
+        if (auto named = named_scheduler(zone, now))
+        {
+            return named;
+        }
+    }
+    return computed_scheduler(zone, now);
+}
+
+// What the VMs of another availability zone say of their scheduler; they hear
+// each other every 300 ms, this VM hears only a few of them.
+std::optional<scheduler_place>
+membership::named_scheduler(std::string_view zone, time_point now) const
+{
+    const entry_peer* latest = nullptr;
+    for (const auto& [id, peer] : peers_)
+    {
+        if (peer.zone == zone && is_live(peer, now) &&
+            !peer.scheduler.empty() &&
+            (latest == nullptr || *peer.heard > *latest->heard))
+        {
+            latest = &peer;
+        }
+    }
+    if (latest == nullptr)
+    {
+        return std::nullopt;
+    }
+    const auto named = peers_.find(latest->scheduler);
+    if (named != peers_.end() &&
+        state_of(named->second, now) == peer_state::leaving)
+    {
+        return std::nullopt;
+    }
+    return scheduler_place{latest->scheduler, latest->scheduler_address};
+}
+
+std::optional<scheduler_place>
+membership::computed_scheduler(std::string_view zone, time_point now) const
+{
+    std::vector<std::string_view> ids;
+    for (const auto& [id, peer] : peers_)
+    {
+        if (peer.zone == zone && may_schedule(peer, now))
+        {
+            ids.push_back(id);
+        }
+    }
+    if (zone == zone_ && !leaving() && now >= listen_until_)
+    {
+        ids.push_back(vm_);
+    }
+    const auto first = first_by_rendezvous(zone, ids);
+    if (first.empty())
+    {
+        return std::nullopt;
+    }
+    if (first == vm_)
+    {
+        return scheduler_place{vm_, address_};
+    }
+    return scheduler_place{std::string(first),
+                           peers_.find(first)->second.address};
+}
+
+bool membership::may_schedule(const entry_peer& peer, time_point now) const
+{
+    return state_of(peer, now) == peer_state::live;
+}
+
+std::vector<entry_peer> membership::must_confirm(time_point now) const
+{
+    std::vector<entry_peer> result;
+    for (const auto& [id, peer] : peers_)
+    {
+        const bool live = is_live(peer, now);
+        const bool listed =
+            peer.listed && state_of(peer, now) != peer_state::leaving;
+        if (live || listed)
+        {
+            result.push_back(peer);
+        }
+    }
+    return result;
+}
+
+std::vector<entry_peer> membership::peers_in(std::string_view zone) const
+{
+    std::vector<entry_peer> result;
+    for (const auto& [id, peer] : peers_)
+    {
+        if (peer.zone == zone && !peer.address.empty())
+        {
+            result.push_back(peer);
+        }
+    }
+    return result;
+}
+
+std::vector<std::string> membership::other_zones() const
+{
+    std::vector<std::string> result;
+    for (const auto& [id, peer] : peers_)
+    {
+        const bool known =
+            std::find(result.begin(), result.end(), peer.zone) != result.end();
+        if (peer.zone != zone_ && !known)
+        {
+            result.push_back(peer.zone);
+        }
+    }
+    return result;
+}
+
+bool membership::knows_peers() const
+{
+    return !peers_.empty();
+}
+
+peer_state membership::state_of(const entry_peer& peer, time_point now) const
+{
+    const auto in_list = leaving_in_list_.find(peer.id);
+    const bool list_says = in_list != leaving_in_list_.end() && in_list->second;
+    if (is_live(peer, now))
+    {
+        return peer.leaving || list_says ? peer_state::leaving
+                                         : peer_state::live;
+    }
+    if (!peer.listed)
+    {
+        return peer_state::gone;
+    }
+    return peer.leaving || list_says ? peer_state::leaving : peer_state::listed;
+}
+
+std::vector<entry_peer> membership::peers() const
+{
+    std::vector<entry_peer> result;
+    result.reserve(peers_.size());
+    for (const auto& [id, peer] : peers_)
+    {
+        result.push_back(peer);
+    }
+    return result;
+}
+
+const std::vector<vm_member>& membership::backend_servers() const
+{
+    return backend_servers_;
+}
+
+void membership::forget_gone(time_point now)
+{
+    std::erase_if(peers_,
+                  [now](const auto& entry)
+                  {
+                      const auto& peer = entry.second;
+                      return !peer.listed &&
+                             (!peer.heard || now - *peer.heard > forget_after);
+                  });
+}
+
+bool membership::is_live(const entry_peer& peer, time_point now) const
+{
+    const auto limit =
+        peer.zone == zone_ ? suspect_after : suspect_other_zone_after;
+    return peer.heard && now - *peer.heard < limit;
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/control/submission.cpp
@@ -0,0 +1,392 @@
+#include "control/submission.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// Row keys of the platform's table and log lines stay short.
+constexpr std::size_t max_key_length = 256;
+
+constexpr int max_accelerators = 256;
+
+// A caller that does not wait still lets a lost answer be read back.
+constexpr milliseconds least_accept_time{4000};
+
+failure bad(std::string reason)
+{
+    return {result_code::bad_request, std::move(reason)};
+}
+
+void answer(const waiting_caller& caller, failure error)
+{
+    job_reply reply;
+    reply.error = std::move(error);
+    caller.done(std::move(reply));
+}
+
+failure key_reused()
+{
+    return {result_code::key_reused,
+            "the key belongs to a job with another request"};
+}
+
+job make_job(const job_request& request,
+             const job_kind& kind,
+             const control_context& context)
+{
+    job item;
+    item.request = request;
+    item.urgency_class = kind.urgency_class;
+    item.idempotent = kind.idempotent;
+    item.can_checkpoint = kind.can_checkpoint;
+    item.can_stop = kind.can_stop;
+    item.expected_run = kind.expected_run;
+    item.checkpoint_time = kind.checkpoint_time;
+    item.origin_vm = context.settings.vm;
+    item.token = context.settings.vm + "-" +
+                 std::to_string(context.hooks.random()) + "-" +
+                 std::to_string(context.hooks.random());
+    item.accepted = context.now();
+    return item;
+}
+
+} // namespace
+
+failure check_request(const job_request& request,
+                      const configuration& config,
+                      time_point now)
+{
+    if (config.version == 0)
+    {
+        return {result_code::store_unavailable,
+                "no configuration is known to this entry VM yet"};
+    }
+    // A slash would let two pairs of customer and key have one job id.
+    if (request.customer.find('/') != std::string::npos)
+    {
+        return bad("customer contains a slash");
+    }
+    if (request.key.empty() || request.key.size() > max_key_length)
+    {
+        return bad("key is empty or longer than " +
+                   std::to_string(max_key_length) + " bytes");
+    }
+    if (request.accelerators < 0 || request.accelerators > max_accelerators)
+    {
+        return bad("accelerators is not between 0 and " +
+                   std::to_string(max_accelerators));
+    }
+    if (find_customer(config.plan, request.customer) == nullptr)
+    {
+        return {result_code::unknown_customer,
+                "customer \"" + request.customer + "\" is not in the sheet"};
+    }
+    if (find_kind(config.plan, request.kind) == nullptr)
+    {
+        return {result_code::unknown_kind,
+                "kind \"" + request.kind + "\" is not in the sheet"};
+    }
+    if (request.deadline <= now)
+    {
+        return {result_code::shed, "the deadline has passed"};
+    }
+    return {};
+}
+
+submission::submission(control_context& context,
+                       std::shared_ptr<job_ledger> ledger,
+                       std::shared_ptr<waiters> waiting,
+                       std::shared_ptr<zone_calls> zones)
+    : context_(context), ledger_(std::move(ledger)),
+      waiting_(std::move(waiting)), zones_(std::move(zones))
+{
+}
+
+std::size_t submission::open() const
+{
+    return open_;
+}
+
+void submission::stop()
+{
+    stopping_ = true;
+}
+
+void submission::submit(const job_request& request,
+                        const waiting_caller& caller)
+{
+    // A known job comes first: its deadline may have passed and its customer
+    // may have left the sheet, and "not run" would be wrong.
+    if (join_known(request, caller))
+    {
+        return;
+    }
+    ++open_;
+    if (const auto error = refusal_before_choice(request))
+    {
+        refuse_new(request, caller, error);
+        return;
+    }
+    const auto question = question_for(request);
+    failure why;
+    const auto allowed = allowed_zones(question, why);
+    if (allowed.empty())
+    {
+        refuse_new(request, caller, why);
+    }
+    else if (allowed.size() == 1)
+    {
+        accept(request, allowed.front(), caller);
+    }
+    else if (allowed.front() != context_.settings.zone)
+    {
+        choose(request, allowed, allowed, caller);
+    }
+    else if (request.deadline == no_deadline)
+    {
+        accept(request, allowed.front(), caller);
+    }
+    else
+    {
+        // Other availability zones are asked only if the own one is not enough.
+        choose(request, allowed, {allowed.front()}, caller);
+    }
+}
+
+failure submission::refusal_before_choice(const job_request& request) const
+{
+    if (stopping_)
+    {
+        return {result_code::vm_stopping,
+                "this entry VM takes no new jobs; use another one"};
+    }
+    if (const auto error =
+            check_request(request, context_.view.current(), context_.now()))
+    {
+        return error;
+    }
+    if (waiting_->full() ||
+        open_ > static_cast<std::size_t>(context_.settings.max_waiting))
+    {
+        return {result_code::shed, "too many callers wait at this entry VM"};
+    }
+    return {};
+}
+
+bool submission::join_known(const job_request& request,
+                            const waiting_caller& caller)
+{
+    const auto id = job_id(request);
+    const auto* known = waiting_->find(id);
+    if (known == nullptr)
+    {
+        return false;
+    }
+    if (!same_request(known->request, request))
+    {
+        answer(caller, key_reused());
+        return true;
+    }
+    waiting_->join(id, caller);
+    return true;
+}
+
+zone_question submission::question_for(const job_request& request) const
+{
+    zone_question question;
+    question.config = &context_.view.current();
+    question.request = &request;
+    question.own_zone = context_.settings.zone;
+    question.now = context_.now();
+    question.is_open = [this](std::string_view zone)
+    {
+        return context_.view.is_open(zone);
+    };
+    question.is_reachable = [this](std::string_view zone)
+    {
+        return context_.members.scheduler_of(zone, context_.now()).has_value();
+    };
+    return question;
+}
+
+void submission::choose(const job_request& request,
+                        const std::vector<std::string>& allowed,
+                        const std::vector<std::string>& asked,
+                        const waiting_caller& caller)
+{
+    zones_->loads(asked,
+                  [weak = weak_from_this(), request, allowed, asked, caller](
+                      zone_calls::load_map loads)
+                  {
+                      const auto self = weak.lock();
+                      if (!self)
+                      {
+                          return;
+                      }
+                      auto question = self->question_for(request);
+                      question.loads = std::move(loads);
+                      if (asked.size() < allowed.size() &&
+                          !own_zone_suffices(question, allowed))
+                      {
+                          self->choose(request, allowed, allowed, caller);
+                          return;
+                      }
+                      self->accept(
+                          request, choose_zone(question, allowed), caller);
+                  });
+}
+
+void submission::accept(const job_request& request,
+                        const std::string& zone,
+                        const waiting_caller& caller)
+{
+    const auto* kind = find_kind(context_.view.current().plan, request.kind);
+    if (kind == nullptr)
+    {
+        --open_;
+        answer(caller,
+               {result_code::unknown_kind, "the kind was removed meanwhile"});
+        return;
+    }
+    auto item = make_job(request, *kind, context_);
+    item.zone = zone;
+    ledger_->accept(
+        std::move(item),
+        std::max(caller.wait_until, context_.now() + least_accept_time),
+        [weak = weak_from_this(), request, caller](const accept_reply& reply)
+        {
+            if (const auto self = weak.lock())
+            {
+                self->on_accepted(request, reply, caller);
+            }
+        });
+}
+
+void submission::on_accepted(const job_request& request,
+                             const accept_reply& reply,
+                             waiting_caller caller)
+{
+    if (is_not_run(reply.error.code))
+    {
+        refuse_new(request, caller, reply.error);
+        return;
+    }
+    --open_;
+    if (reply.error)
+    {
+        answer(caller, reply.error);
+        return;
+    }
+    // Without a row, a second request under the key is found only here.
+    if (!join_known(request, caller))
+    {
+        waiting_->watch(reply, std::move(caller));
+    }
+}
+
+void submission::refuse_new(const job_request& request,
+                            const waiting_caller& caller,
+                            const failure& error)
+{
+    if (!is_not_run(error.code))
+    {
+        --open_;
+        answer(caller, error);
+        return;
+    }
+    ledger_->read(job_id(request),
+                  [weak = weak_from_this(), request, caller, error](
+                      const job_read_reply& row)
+                  {
+                      const auto self = weak.lock();
+                      if (!self)
+                      {
+                          return;
+                      }
+                      if (row.error)
+                      {
+                          self->ask_scheduler(request, caller, error);
+                          return;
+                      }
+                      --self->open_;
+                      if (row.item)
+                      {
+                          self->on_known(request, *row.item, true, caller);
+                          return;
+                      }
+                      answer(caller, error);
+                  });
+}
+
+// While the table does not answer, the scheduler of the own availability zone
+// is the best witness of an earlier acceptance.
+void submission::ask_scheduler(const job_request& request,
+                               const waiting_caller& caller,
+                               const failure& error)
+{
+    const auto place =
+        context_.members.scheduler_of(context_.settings.zone, context_.now());
+    if (!place)
+    {
+        --open_;
+        answer(caller, error);
+        return;
+    }
+    zones_->job_status(*place,
+                       job_id(request),
+                       [weak = weak_from_this(), request, caller, error](
+                           const job_status_reply& status)
+                       {
+                           const auto self = weak.lock();
+                           if (!self)
+                           {
+                               return;
+                           }
+                           --self->open_;
+                           if (status.error)
+                           {
+                               answer(caller, error);
+                               return;
+                           }
+                           job known;
+                           known.request = request;
+                           known.zone = self->context_.settings.zone;
+                           known.outcome = status.outcome;
+                           // What is not known must not let it be sent again.
+                           known.idempotent = false;
+                           self->on_known(request, known, true, caller);
+                       });
+}
+
+void submission::on_known(const job_request& request,
+                          const job& known,
+                          bool row_may_exist,
+                          const waiting_caller& caller)
+{
+    if (!same_request(known.request, request))
+    {
+        answer(caller, key_reused());
+        return;
+    }
+    if (join_known(request, caller))
+    {
+        return;
+    }
+    const bool ended = is_final(known.outcome.state);
+    if (!ended && (stopping_ || waiting_->full()))
+    {
+        caller.done({{result_code::pending,
+                      "the job was accepted; ask another entry VM for it"},
+                     known,
+                     {}});
+        return;
+    }
+    waiting_->watch({{}, known, false, row_may_exist}, caller);
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/control/submission.hpp
@@ -0,0 +1,84 @@
+// The way of a request from the caller to an accepted job: checks, choice of
+// the availability zone, row in the table.
+#ifndef POPLARRAMP_CONTROL_SUBMISSION_HPP
+#define POPLARRAMP_CONTROL_SUBMISSION_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+#include "control/control_context.hpp"
+#include "control/job_ledger.hpp"
+#include "control/waiters.hpp"
+#include "control/zone_calls.hpp"
+#include "model/job.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplarramp
+{
+
+// Why a request cannot become a job under the configuration. Thread safe.
+failure check_request(const job_request& request,
+                      const configuration& config,
+                      time_point now);
+
+// Not thread safe; used on the control thread only.
+class submission : public std::enable_shared_from_this<submission>
+{
+public:
+    // Precondition: `context` outlives this.
+    submission(control_context& context,
+               std::shared_ptr<job_ledger> ledger,
+               std::shared_ptr<waiters> waiting,
+               std::shared_ptr<zone_calls> zones);
+
+    void submit(const job_request& request, const waiting_caller& caller);
+
+    // From now on new jobs are refused with `vm_stopping`.
+    void stop();
+
+    // Requests that are not accepted or refused yet.
+    std::size_t open() const;
+
+private:
+    zone_question question_for(const job_request& request) const;
+    failure refusal_before_choice(const job_request& request) const;
+    void choose(const job_request& request,
+                const std::vector<std::string>& allowed,
+                const std::vector<std::string>& asked,
+                const waiting_caller& caller);
+    void accept(const job_request& request,
+                const std::string& zone,
+                const waiting_caller& caller);
+    void on_accepted(const job_request& request,
+                     const accept_reply& reply,
+                     waiting_caller caller);
+    bool join_known(const job_request& request, const waiting_caller& caller);
+
+    // Refusals whose code says "not run" are checked: the key may have been
+    // accepted before, here or at another entry VM.
+    void refuse_new(const job_request& request,
+                    const waiting_caller& caller,
+                    const failure& error);
+    void ask_scheduler(const job_request& request,
+                       const waiting_caller& caller,
+                       const failure& error);
+    void on_known(const job_request& request,
+                  const job& known,
+                  bool row_may_exist,
+                  const waiting_caller& caller);
+
+    control_context& context_;
+    std::shared_ptr<job_ledger> ledger_;
+    std::shared_ptr<waiters> waiting_;
+    std::shared_ptr<zone_calls> zones_;
+    std::size_t open_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/src/control/waiters.hpp
@@ -0,0 +1,137 @@
+// Callers that wait for jobs, and the entry VM's part in getting each job to
+// the scheduler of its availability zone and the answer back.
+#ifndef POPLARRAMP_CONTROL_WAITERS_HPP
+#define POPLARRAMP_CONTROL_WAITERS_HPP
+
+#include "base/result.hpp"
+#include "base/time.hpp"
+#include "control/controller.hpp"
+#include "control/job_ledger.hpp"
+#include "control/membership.hpp"
+#include "inner/peer_api.hpp"
+#include "model/job.hpp"
+#include "platform/object_store.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace poplarramp
+{
+
+// Calls that reach the scheduler at `place` may report before they return.
+struct waiter_hooks
+{
+    std::function<time_point()> now;
+    object_store objects;
+    std::function<std::optional<scheduler_place>(const std::string& zone)>
+        scheduler_of;
+    std::function<void(const scheduler_place& place,
+                       const job& item,
+                       std::function<void(failure)> done)>
+        enqueue;
+    std::function<void(const scheduler_place& place,
+                       const std::string& job_id,
+                       std::function<void(failure)> done)>
+        cancel;
+    std::function<void(const scheduler_place& place,
+                       const std::string& job_id,
+                       std::function<void(job_status_reply)> done)>
+        job_status;
+    std::function<void(const std::string& job_id,
+                       std::function<void(job_read_reply)> done)>
+        read_row;
+    std::function<void(const std::string& job_id,
+                       const job_outcome& outcome,
+                       std::function<void(job_read_reply)> done)>
+        end_unstarted;
+};
+
+struct waiting_caller
+{
+    time_point wait_until;
+    std::function<void(job_reply)> done;
+};
+
+// Error that a caller gets for an outcome. A code that means "not run" stands
+// only with the state `not_run`. Thread safe.
+failure failure_of(const job_outcome& outcome);
+
+// Not thread safe; used on the control thread only. Each caller is answered
+// exactly once.
+class waiters : public std::enable_shared_from_this<waiters>
+{
+public:
+    waiters(waiter_hooks hooks, int max_waiting);
+
+    // No more callers or jobs are taken.
+    bool full() const;
+    // The job that is waited for under the id, or nullptr.
+    const job* find(const std::string& job_id) const;
+
+    // Brings an accepted job to its scheduler and answers the caller when it
+    // has ended or at `wait_until`. Joins the caller to a job that is known
+    // already. `cancel`: asks the scheduler to cancel it, each second until it
+    // knows the job.
+    void watch(const accept_reply& accepted,
+               waiting_caller caller,
+               bool cancel = false);
+    // Precondition: `find(job_id)` is not nullptr.
+    void join(const std::string& job_id, waiting_caller caller);
+
+    // The job has ended. Ignored if nobody waits for it, if it has ended before
+    // or if the outcome is not final.
+    void on_ended(const std::string& job_id, const job_outcome& outcome);
+
+    void tick();
+
+    // Jobs that are not answered or not handed to their scheduler.
+    std::size_t size() const;
+
+    // Answers every caller with the state as it is known; for the stop limit.
+    void answer_all();
+
+private:
+    struct waiting_job;
+    using map_type = std::map<std::string, std::shared_ptr<waiting_job>>;
+    using entry_ptr = std::shared_ptr<waiting_job>;
+
+    void step(const entry_ptr& entry);
+    void enqueue(const entry_ptr& entry, const scheduler_place& place);
+    void on_enqueued(const entry_ptr& entry,
+                     const scheduler_place& place,
+                     const failure& error);
+    void resend(const entry_ptr& entry, const scheduler_place& place);
+    void on_row(const entry_ptr& entry,
+                const scheduler_place& place,
+                const job_read_reply& row);
+    void poll(const entry_ptr& entry, const scheduler_place& place);
+    void on_status(const entry_ptr& entry, const job_status_reply& reply);
+    void send_cancel(const entry_ptr& entry, const scheduler_place& place);
+    void end_refused(const entry_ptr& entry, const scheduler_place& place);
+    void write_refusal(const entry_ptr& entry);
+    void fetch_answer(const entry_ptr& entry);
+    void answer(const entry_ptr& entry);
+    void expire(const entry_ptr& entry);
+    void wait_for(const entry_ptr& entry, milliseconds interval);
+
+    // Wraps the completion of a call made for `entry`: it is dropped when the
+    // job is no longer waited for, and lets the next step be taken.
+    template <class Reply, class Handle>
+    std::function<void(Reply)> completion(const entry_ptr& entry,
+                                          Handle handle);
+
+    waiter_hooks hooks_;
+    std::size_t max_waiting_;
+    std::size_t callers_ = 0;
+    map_type jobs_;
+};
+
+} // namespace poplarramp
+
+#endif
