--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -159,6 +159,7 @@
     hooks.store = context.hooks.store;
     hooks.backend = context.hooks.backend;
     hooks.now = context.hooks.now;
+    hooks.clock = context.hooks.clock;
     hooks.config_confirmed_at = [weak]
     {
         const auto self = weak.lock();
--- a/src/control/waiters.cpp
+++ b/src/control/waiters.cpp
@@ -134,10 +134,10 @@
     const auto entry = jobs_.at(job_id);
     if (callers_ >= max_waiting_)
     {
-        caller.done({{result_code::pending,
-                      "too many callers wait at this entry VM"},
-                     entry->item,
-                     entry->explanation});
+        caller.done(
+            {{result_code::pending, "too many callers wait at this entry VM"},
+             entry->item,
+             entry->explanation});
         return;
     }
     entry->callers.push_back(std::move(caller));
--- /dev/null
+++ b/tests/control_fakes.hpp
@@ -0,0 +1,140 @@
+// Several controllers on one hand-moved clock, with a table, an object store,
+// links and schedulers that fail on request. Everything happens in one thread
+// and in a fixed order.
+#ifndef POPLARRAMP_TESTS_CONTROL_FAKES_HPP
+#define POPLARRAMP_TESTS_CONTROL_FAKES_HPP
+
+#include "control/controller.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace poplarramp::tests
+{
+
+// What happens to a call.
+enum class call_fault
+{
+    none,
+    // Refused without a call being made.
+    down,
+    // No answer, no effect.
+    silent,
+    // Takes effect, but the answer is lost.
+    answer_lost,
+    // Answers after 1.5 s.
+    slow,
+    // Another writer gets in before.
+    conflict,
+};
+
+const char* name_of(call_fault fault);
+
+// The scheduler of one entry VM: a job runs when it is enqueued and ends after
+// `run_time`.
+struct fake_scheduler
+{
+    zone_scheduler_hooks hooks;
+    bool active = false;
+    bool open = false;
+    std::map<std::string, job> jobs;
+    std::map<std::string, int> runs;
+    std::vector<std::string> cancelled;
+    // Refusal of the next enqueue.
+    failure refusal;
+    bool forgets_ended = false;
+};
+
+struct fake_vm
+{
+    std::string id;
+    std::string zone;
+    bool killed = false;
+    // Receives nothing and answers nothing.
+    bool silent = false;
+    fake_scheduler scheduler;
+    peer_handlers handlers;
+    std::unique_ptr<controller> control;
+};
+
+class fake_world
+{
+public:
+    fake_world();
+    ~fake_world();
+    fake_world(const fake_world&) = delete;
+    fake_world& operator=(const fake_world&) = delete;
+
+    fake_vm& add_vm(const std::string& id, const std::string& zone);
+    // Starts `vms` VMs in each of two availability zones and waits until they
+    // know each other and the configuration.
+    void start(int vms);
+    void run_for(milliseconds time);
+    void kill(fake_vm& vm);
+    fake_vm& vm(const std::string& id);
+    fake_vm& scheduler_of(const std::string& zone);
+    // Ends a job at the scheduler that has it.
+    void end_job(fake_vm& vm, const std::string& id, job_outcome outcome);
+    int runs_of(const std::string& id) const;
+    std::optional<job> row_of(const std::string& id) const;
+    void at(milliseconds delay, std::function<void()> action);
+
+    // Faults of the table: by the number of the call since `clear_calls`, from
+    // 1, among calls to rows whose key starts with `fault_prefix`.
+    std::function<call_fault(int call)> table_fault;
+    std::string fault_prefix;
+    int table_calls = 0;
+    // Row that a conflicting writer puts in before a write.
+    std::function<void()> other_writer;
+    bool objects_down = false;
+    // True if messages between two availability zones are lost.
+    bool zones_cut = false;
+    bool table_cut_from_a = false;
+    milliseconds run_time{200};
+    std::function<void(const std::string& vm, const std::string& method)>
+        on_peer_call;
+
+    time_point now{milliseconds(1'000'000)};
+    clock_mapping clock{time_point(milliseconds(0)), 1'700'000'000'000};
+    std::map<std::string, table_row> rows;
+    std::map<std::string, std::string> objects;
+    std::vector<vm_member> members;
+    std::vector<std::unique_ptr<fake_vm>> vms;
+
+private:
+    controller_hooks hooks_for(fake_vm& vm);
+    table table_for(const std::string& zone);
+    peer_api peers_for(fake_vm& vm);
+    local_scheduler scheduler_for(fake_vm& vm, zone_scheduler_hooks hooks);
+    call_fault next_fault(const std::string& zone, const std::string& key);
+    table_write_reply write(const std::vector<table_change>& changes);
+    void answer(call_fault fault,
+                time_point deadline,
+                const std::function<void(failure)>& reply);
+    // The VM at an address if a message from `from` reaches it.
+    fake_vm* reach(const fake_vm& from, const std::string& address);
+    template <class Reply, class Handle>
+    void call(fake_vm& from,
+              const std::string& address,
+              const std::string& method,
+              time_point deadline,
+              std::function<void(Reply)> done,
+              Handle handle);
+
+    std::multimap<time_point, std::function<void()>> events_;
+    std::uint64_t random_ = 1;
+};
+
+// Two availability zones "a" and "b" in two regions, customer "umkhonto", kinds
+// "check" (urgent), "tint" (urgent, not idempotent) and "glaze" (patient).
+sheet test_sheet();
+job_request request_of(const std::string& kind, const std::string& key);
+
+} // namespace poplarramp::tests
+
+#endif
