Keep backend servers of other availability zones out of the membership

Every scheduler claimed the backend servers of all three availability zones, because the membership passed on the whole list; whoever came first held them, and the schedulers of the other zones had none.

Ruled out: a filter in the zone scheduler, whose interface already says that it is given the backend servers of its own availability zone.

Change: membership keeps only those of its own availability zone.

--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -103,7 +103,10 @@
     {
         if (member.role == vm_role::backend_server)
         {
-            backend_servers_.push_back(member);
+            if (member.zone == zone_)
+            {
+                backend_servers_.push_back(member);
+            }
             continue;
         }
         if (member.id == vm_)
--- a/src/control/membership.hpp
+++ b/src/control/membership.hpp
@@ -99,6 +99,7 @@
     bool knows_peers() const;
     peer_state state_of(const entry_peer& peer, time_point now) const;
     std::vector<entry_peer> peers() const;
+    // Those of the own availability zone.
     const std::vector<vm_member>& backend_servers() const;
 
     // Drops entry VMs that are not listed and have been silent for long.
