Test the API and the commands; bound times in requests

Cause: the API and the commands had no test, and a deadline near the end of the 64-bit range could overflow when it is converted.

A deadline or wait_until after the year 9999 is refused or cut.

--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -171,7 +171,8 @@
                                [&target](const Json::Value& json)
                                {
                                    if (!is_integer(json) || !json.isInt64() ||
-                                       json.asInt64() < 0)
+                                       json.asInt64() < 0 ||
+                                       json.asInt64() > latest_unix_ms)
                                    {
                                        return false;
                                    }
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -44,7 +44,7 @@
 
 // A configuration, or the lists of an availability zone with thousands of
 // jobs, is larger than a caller's request.
-constexpr std::uint64_t most_inner_body_bytes = 16 * 1024 * 1024;
+constexpr std::uint64_t most_inner_body_bytes = 16777216;
 
 http_client_settings client_settings(std::size_t connections)
 {
@@ -201,6 +201,7 @@
     }
     const auto guard = asio::make_work_guard(traffic_);
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(values_.traffic_threads));
     for (int i = 0; i < values_.traffic_threads; ++i)
     {
         threads.emplace_back([this] { traffic_.run(); });
--- /dev/null
+++ b/tests/api_test.cpp
@@ -0,0 +1,166 @@
+// The HTTP API over the controller, without sockets.
+#include "api_world.hpp"
+#include "model/codec.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+using namespace poplarramp::tests;
+
+TEST_GROUP(api)
+{
+    api_world entry;
+
+    std::uint64_t version() const
+    {
+        return entry.world.vms[0]->control->config().version;
+    }
+};
+
+// Guards against an operator call that anyone can make.
+TEST(api, refuses_operator_calls_without_a_valid_token)
+{
+    const auto before = version();
+    for (const std::string token :
+         {"", "0123456789abcdeX", "0123456789abcde", "0123456789abcdef0"})
+    {
+        for (const std::string path : {"/v1/zones/b/out", "/v1/sheet"})
+        {
+            const auto answer = entry.call("POST", path, "{}", token);
+            CHECK(answer.status == 401 && answer.result() == "unauthorized");
+        }
+    }
+    CHECK(version() == before);
+}
+
+// Guards against a change that is recorded without who made it, and against a
+// caller who is told "ok" before every entry VM has the change.
+TEST(api, changes_a_zone_for_an_operator)
+{
+    const auto before = version();
+    const auto out = entry.call("POST", "/v1/zones/b/out", "", good_token);
+    CHECK(out.status == 200 && out.result() == "ok");
+    CHECK(out.body["confirmed"].size() == 4);
+    CHECK(version() > before);
+    CHECK(entry.world.vm("b2").control->config().changed_by == "planner");
+    CHECK(entry.world.vm("b2").control->config().zones.at("b") ==
+          zone_state::out);
+    entry.world.vm("b2").silent = true;
+    const auto back = entry.call("POST", "/v1/zones/b/back", "", good_token);
+    CHECK(back.status == 202 && back.result() == "pending");
+    CHECK(back.body["unconfirmed"][0].asString() == "b2");
+}
+
+// Guards against a zone name that is accepted although nobody knows it.
+TEST(api, refuses_unknown_zone)
+{
+    const auto answer = entry.call("POST", "/v1/zones/x/out", "", good_token);
+    CHECK(answer.status == 400 && answer.result() == "unknown_zone");
+}
+
+// Guards against an answer that is lost between the controller and the caller.
+TEST(api, answers_a_job_with_its_result)
+{
+    const auto first = entry.call("POST",
+                                  "/v1/jobs?wait_until=" + entry.after(5000),
+                                  job_text("check", "k1"));
+    CHECK(first.status == 200 && first.result() == "ok" && first.count == 1);
+    CHECK(first.body["job"]["state"].asString() == "done");
+    CHECK(first.body["job"]["answer"].asString() == "answer to umkhonto/k1: p");
+    const auto again = entry.call("GET", "/v1/jobs/umkhonto/k1");
+    CHECK(again.body["job"]["answer"] == first.body["job"]["answer"]);
+    const auto other = entry.call("POST", "/v1/jobs", job_text("glaze", "k1"));
+    CHECK(other.result() == "key_reused");
+    const auto page = entry.call("GET", "/metrics");
+    CHECK(page.status == 200);
+}
+
+// Guards against "ended" for a job that only was accepted.
+TEST(api, answers_pending_until_the_job_has_ended)
+{
+    const auto answer = entry.call("POST", "/v1/jobs", job_text("glaze", "k2"));
+    CHECK(answer.status == 202 && answer.result() == "pending");
+    const auto later = entry.call(
+        "GET", "/v1/jobs/umkhonto/k2?wait_until=" + entry.after(60000));
+    CHECK(later.status == 200 && later.result() == "ok");
+}
+
+// Guards against a request that is understood differently than it was meant:
+// misspelt or wrong members, names with a slash, broken JSON, deep nesting.
+TEST(api, refuses_malformed_requests)
+{
+    const std::string bodies[] = {
+        "",
+        "{",
+        "[]",
+        std::string(10000, '['),
+        job_text("check", "a/b"),
+        R"({"customer": "umkhonto", "key": "k", "kind": "check", "keys": 1})",
+        R"({"customer": "umkhonto", "kind": "check"})",
+        R"({"customer": "umkhonto", "key": "k", "kind": "check",
+            "accelerators": 257})",
+        R"({"customer": "umkhonto", "key": "k", "kind": "check",
+            "deadline": "soon"})"};
+    for (const auto& body : bodies)
+    {
+        const auto answer = entry.call("POST", "/v1/jobs", body);
+        CHECK_TEXT(answer.status == 400 && answer.result() == "bad_request",
+                   body.c_str());
+        CHECK(!answer.body["reason"].asString().empty());
+    }
+    CHECK(entry.call("GET", "/v1/jobs/umkhonto/k?wait_until=x").status == 400);
+}
+
+// Guards against a path or method that is silently taken for another one.
+TEST(api, refuses_unknown_paths_and_methods)
+{
+    CHECK(entry.call("GET", "/v1/job").status == 404);
+    CHECK(entry.call("GET", "/v1/jobs/umkhonto").status == 404);
+    CHECK(entry.call("DELETE", "/v1/zones").status == 405);
+    CHECK(entry.call("GET", "/v1/sheet").status == 405);
+    CHECK(entry.call("GET", "/v1/jobs/umkhonto/none").status == 404);
+}
+
+// Guards against a dry run that changes something, and against a sheet that is
+// applied although it is wrong or another change came first.
+TEST(api, checks_a_sheet_before_it_is_applied)
+{
+    const auto text = json_text(to_json(test_sheet()));
+    const auto before = version();
+    const auto dry =
+        entry.call("POST", "/v1/sheet?dry_run=1", text, good_token);
+    CHECK(dry.result() == "ok" && version() == before);
+    const auto wrong = entry.call("POST", "/v1/sheet", "{}", good_token);
+    CHECK(wrong.status == 400 && wrong.result() == "bad_sheet");
+    const auto late =
+        entry.call("POST", "/v1/sheet?expected_version=1", text, good_token);
+    CHECK(late.status == 409 && late.result() == "conflict");
+    CHECK(version() == before);
+    const auto good = entry.call("POST", "/v1/sheet", text, good_token);
+    CHECK(good.result() == "ok" && version() > before);
+}
+
+// Guards against a list that omits an availability zone without saying so.
+TEST(api, lists_name_zones_that_did_not_answer)
+{
+    CHECK(entry.call("GET", "/v1/zones").body["incomplete"].empty());
+    entry.world.zones_cut = true;
+    entry.world.run_for(milliseconds(10000));
+    const auto zones = entry.call("GET", "/v1/zones");
+    CHECK(zones.body["zones"].size() == 2);
+    CHECK(zones.body["incomplete"][0]["zone"].asString() == "b");
+    for (const std::string list : {"jobs", "backend-servers", "customers"})
+    {
+        CHECK(!entry.call("GET", "/v1/" + list).body["incomplete"].empty());
+    }
+}
+
+// Guards against a load balancer that keeps sending to a VM that stops.
+TEST(api, health_tells_of_a_planned_stop)
+{
+    CHECK(entry.call("GET", "/health").status == 200);
+    entry.target.begin_stop();
+    CHECK(entry.call("GET", "/health").status == 503);
+}
--- /dev/null
+++ b/tests/cli_test.cpp
@@ -0,0 +1,162 @@
+// Commands against the API of one entry VM in a world of fakes.
+#include "api_world.hpp"
+#include "cli/cli.hpp"
+#include "cli/command_line.hpp"
+#include "cli/remote.hpp"
+#include "config/sheet_file.hpp"
+#include "model/codec.hpp"
+
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+using namespace poplarramp::tests;
+
+TEST_GROUP(cli)
+{
+    api_world entry;
+    std::ostringstream text;
+    std::ostringstream errors;
+    // Servers that were called, in order.
+    std::vector<std::string> called;
+    // Number of calls that fail first, and how.
+    int failing = 0;
+    result_code fault = result_code::unreachable;
+
+    api_reply send(const std::string& server, const http_request& request)
+    {
+        called.push_back(server);
+        if (failing > 0)
+        {
+            --failing;
+            return {false, {fault, "fault"}, {}};
+        }
+        const auto answer = entry.call(request);
+        return {true,
+                {code_of(answer.result()), answer.body["reason"].asString()},
+                answer.body};
+    }
+
+    int execute(const std::vector<std::string>& arguments)
+    {
+        early_exit exit;
+        const auto line = parse_command_line(arguments, exit);
+        CHECK_TEXT(line.has_value(), exit.text.c_str());
+        api_client client(
+            line->servers,
+            line->token,
+            line->timeout,
+            [this](const std::string& server, const http_request& request, auto)
+            { return send(server, request); });
+        return run_remote(*line, client, {text, errors});
+    }
+
+    int run_submit(const std::string& key)
+    {
+        return execute({"submit",
+                        "--customer=umkhonto",
+                        "--kind=check",
+                        "--key=" + key,
+                        "--server=s1",
+                        "--server=s2"});
+    }
+};
+
+// Guards against a job that runs twice because the command submitted it again
+// after a lost reply, and against a command that gives up on a dead entry VM.
+TEST(cli, submit_goes_on_at_the_next_entry_vm)
+{
+    failing = 1;
+    fault = result_code::answer_lost;
+    CHECK(run_submit("k1") == exit_ok);
+    CHECK(called == (std::vector<std::string>{"s1", "s2"}));
+    CHECK(entry.world.runs_of("umkhonto/k1") == 1);
+    CHECK(text.str().find("done") != std::string::npos);
+}
+
+// Guards against a change that is sent twice although the first may have been
+// made.
+TEST(cli, does_not_repeat_an_uncertain_change)
+{
+    failing = 1;
+    fault = result_code::timeout;
+    CHECK(execute({"apply-sheet",
+                   "examples/sheet.jsonc",
+                   "--server=s1",
+                   "--server=s2"}) == exit_unreachable);
+    CHECK(called.size() == 1);
+}
+
+// Guards against exit code 0 for a refusal or for a change that is not in force
+// everywhere.
+TEST(cli, exit_codes_tell_refusal_and_pending)
+{
+    const std::string token = std::string("--token=") + good_token;
+    CHECK(execute({"zone-out", "b", "--token=wrong"}) == exit_failed);
+    CHECK(execute({"zone-out", "b", token}) == exit_ok);
+    entry.world.vm("b1").silent = true;
+    CHECK(execute({"zone-back", "b", token}) == exit_pending);
+    CHECK(text.str().find("not confirmed by b1") != std::string::npos);
+    CHECK(execute({"wait", "umkhonto", "none"}) == exit_failed);
+}
+
+// Guards against columns that change, which breaks the scripts of operators.
+TEST(cli, lists_have_stable_columns)
+{
+    CHECK(execute({"show", "vms"}) == exit_ok);
+    STRCMP_CONTAINS("ID  ZONE  ADDRESS", text.str().c_str());
+    CHECK(execute({"show", "zones"}) == exit_ok);
+    STRCMP_CONTAINS("ZONE  CONFIGURED  STATE  SCHEDULER  BACKEND_SERVERS  "
+                    "FREE_ACCELERATORS  LARGEST_SHAPE  JOBS",
+                    text.str().c_str());
+}
+
+// Guards against a printed configuration that cannot be applied again.
+TEST(cli, shows_the_configuration_as_a_sheet)
+{
+    CHECK(execute({"show", "config"}) == exit_ok);
+    failure why;
+    const auto plan = parse_sheet(text.str(), "shown", why);
+    CHECK_TEXT(plan.has_value(), why.reason.c_str());
+    STRCMP_EQUAL(json_text(to_json(test_sheet())).c_str(),
+                 json_text(to_json(*plan)).c_str());
+}
+
+TEST_GROUP(command_line){};
+
+// Guards against wrong arguments that start a command with a default.
+TEST(command_line, refuses_wrong_arguments)
+{
+    const std::vector<std::vector<std::string>> wrong{
+        {},
+        {"sbmit"},
+        {"submit", "--customer=a"},
+        {"show", "racks"},
+        {"show"},
+        {"zone-out", "a", "b"},
+        {"zone-out", "a", "--outpt=json"},
+        {"show", "vms", "--output=xml"},
+        {"wait", "a", "b", "--wait-ms=-1"},
+        {"wait", "a", "b", "--wait-ms=soon"}};
+    for (const auto& arguments : wrong)
+    {
+        early_exit exit;
+        CHECK(!parse_command_line(arguments, exit));
+        CHECK(exit.code == exit_usage && !exit.text.empty());
+    }
+}
+
+// Guards against help that is treated as an error.
+TEST(command_line, prints_help_and_version)
+{
+    for (const auto& arguments : std::vector<std::vector<std::string>>{
+             {"--help"}, {"--version"}, {"submit", "--help"}})
+    {
+        early_exit exit;
+        CHECK(!parse_command_line(arguments, exit));
+        CHECK(exit.code == exit_ok && !exit.text.empty());
+    }
+}
