Reply with the job whenever it is known, whatever its outcome

Cause: the controller reports a job that failed, was cancelled or is pending as an error with the job beside it; the API dropped the job, so callers got no state and the metrics missed every job that did not end well.

Ruled out: a status by the code for ended jobs; a client could not tell "the call failed" from "the job did not run".

Change: entry/replies takes the outcome from the error or the job and adds the member "job" whenever the job is known. `show config` prints "key: value".

--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -382,6 +382,7 @@
     }
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "    ";
+    builder["enableYAMLCompatibility"] = true;
     builder["emitUTF8"] = true;
     text << Json::writeString(builder, config["sheet"]) << '\n';
 }
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -215,7 +215,7 @@
 
 void api::record(const job_reply& reply)
 {
-    if (reply.error || !is_final(reply.item.outcome.state))
+    if (!is_final(reply.item.outcome.state))
     {
         return;
     }
@@ -223,7 +223,7 @@
     sample.customer = reply.item.request.customer;
     sample.kind = reply.item.request.kind;
     sample.zone = reply.item.zone;
-    sample.code = reply.item.outcome.code;
+    sample.code = result_of_job(reply).code;
     sample.completion = now_() - reply.item.accepted;
     metrics_.record(sample);
 }
--- a/src/entry/replies.cpp
+++ b/src/entry/replies.cpp
@@ -160,24 +160,32 @@
 
 } // namespace
 
-result_code code_of_job(const job& item)
+failure result_of_job(const job_reply& reply)
 {
-    return is_final(item.outcome.state) ? item.outcome.code
-                                        : result_code::pending;
+    if (reply.error)
+    {
+        return reply.error;
+    }
+    const auto& outcome = reply.item.outcome;
+    if (!is_final(outcome.state))
+    {
+        return {result_code::pending, "the job has not ended"};
+    }
+    return {outcome.code, outcome.reason};
 }
 
 http_response job_response(const job_reply& reply, const clock_mapping& clock)
 {
-    if (reply.error)
+    const auto result = result_of_job(reply);
+    const bool known = !reply.item.request.key.empty();
+    if (!known)
     {
-        return json_response(reply.error);
+        return json_response(result);
     }
-    const auto code = code_of_job(reply.item);
     Json::Value body;
     body["job"] = job_json(reply, clock);
-    auto response =
-        json_response({code, reply.item.outcome.reason}, std::move(body));
-    if (code != result_code::pending)
+    auto response = json_response(result, std::move(body));
+    if (is_final(reply.item.outcome.state))
     {
         response.status = http_ok;
     }
--- a/src/entry/replies.hpp
+++ b/src/entry/replies.hpp
@@ -18,11 +18,11 @@
 
 // All functions are thread safe.
 
-// Code of a job on its way or at its end: `pending` until it has ended.
-result_code code_of_job(const job& item);
+// Outcome of a job; `pending` until it has ended.
+failure result_of_job(const job_reply& reply);
 
-// The status is 200 for every job that has ended, however it ended, and 202
-// for one that has not, so that it says whether this call succeeded.
+// The status is 200 for every accepted job that has ended, however it ended, so
+// that it says whether this call succeeded. Such a reply has the member "job".
 http_response job_response(const job_reply& reply, const clock_mapping& clock);
 
 http_response change_response(const change_reply& reply);
--- a/tests/api_test.cpp
+++ b/tests/api_test.cpp
@@ -82,11 +82,29 @@
 {
     const auto answer = entry.call("POST", "/v1/jobs", job_text("glaze", "k2"));
     CHECK(answer.status == 202 && answer.result() == "pending");
+    CHECK(answer.body["job"]["state"].asString() != "done");
     const auto later = entry.call(
         "GET", "/v1/jobs/umkhonto/k2?wait_until=" + entry.after(60000));
     CHECK(later.status == 200 && later.result() == "ok");
 }
 
+// Guards against a failed call that cannot be told from a job that failed.
+TEST(api, answers_how_an_accepted_job_ended)
+{
+    entry.world.run_time = milliseconds(60000);
+    entry.call("POST", "/v1/jobs", job_text("glaze", "k3"));
+    entry.world.run_for(milliseconds(2000));
+    job_outcome outcome;
+    outcome.state = job_state::cancelled;
+    outcome.code = result_code::cancelled;
+    auto& scheduler = entry.world.scheduler_of("a");
+    entry.world.end_job(scheduler, "umkhonto/k3", outcome);
+    entry.world.run_for(milliseconds(1000));
+    const auto read = entry.call("GET", "/v1/jobs/umkhonto/k3");
+    CHECK(read.status == 200 && read.result() == "cancelled");
+    CHECK(read.body["job"]["state"].asString() == "cancelled");
+}
+
 // Guards against a request that is understood differently than it was meant:
 // misspelt or wrong members, names with a slash, broken JSON, deep nesting.
 TEST(api, refuses_malformed_requests)
