Check guarantees with the scheduler's packing; gauges of the scheduler

Cause: the sheet check had a packing of its own. It ignored slots, so that a sheet with more blocks than slots on a backend server was accepted although the scheduler could not keep it.

Ruled out: slots in the own packing, which would stay a second version of one rule.

Change: config/sheet_check calls pack_blocks of policy/guarantee; GET /metrics gets the free accelerators and the largest open shape from the VM that is the scheduler.

--- a/src/config/sheet_check.cpp
+++ b/src/config/sheet_check.cpp
@@ -1,10 +1,11 @@
 #include "config/sheet_check.hpp"
 
+#include "policy/guarantee.hpp"
+#include "policy/scheduler.hpp"
+
 #include <algorithm>
 #include <bit>
 #include <cstdint>
-#include <map>
-#include <numeric>
 #include <set>
 #include <string>
 
@@ -14,144 +15,36 @@
 namespace
 {
 
-// Free accelerators of each backend server of one rack.
-using free_servers = std::vector<int>;
-
-int total(const free_servers& servers)
-{
-    return std::accumulate(servers.begin(), servers.end(), 0);
-}
-
-std::vector<free_servers> free_of(const availability_zone& zone)
-{
-    // Plans with the same name are the same rack.
-    std::map<std::string, free_servers> racks;
-    for (const auto& plan : zone.racks)
-    {
-        auto& servers = racks[plan.name];
-        servers.insert(
-            servers.end(), plan.servers, plan.accelerators_per_server);
-    }
-    std::vector<free_servers> result;
-    result.reserve(racks.size());
-    for (auto& rack : racks)
-    {
-        result.push_back(std::move(rack.second));
-    }
-    return result;
-}
-
-// Takes `wanted` accelerators from the fullest backend servers first, so that
-// the others keep room for large shapes.
-void take(free_servers& servers, int wanted)
-{
-    std::sort(servers.begin(), servers.end());
-    for (auto& free : servers)
-    {
-        const int taken = std::min(free, wanted);
-        free -= taken;
-        wanted -= taken;
-    }
-}
-
-bool place_in_server(std::vector<free_servers>& racks, int shape)
-{
-    int* best = nullptr;
-    for (auto& rack : racks)
-    {
-        for (auto& free : rack)
-        {
-            if (free >= shape && (best == nullptr || free < *best))
-            {
-                best = &free;
-            }
-        }
-    }
-    if (best == nullptr)
-    {
-        return false;
-    }
-    *best -= shape;
-    return true;
-}
-
-bool place_in_rack(std::vector<free_servers>& racks, int shape)
-{
-    free_servers* best = nullptr;
-    for (auto& rack : racks)
-    {
-        const int free = total(rack);
-        if (free >= shape && (best == nullptr || free < total(*best)))
-        {
-            best = &rack;
-        }
-    }
-    if (best == nullptr)
-    {
-        return false;
-    }
-    take(*best, shape);
-    return true;
-}
-
-// Uses the emptiest racks, which are the fewest.
-bool place_over_racks(std::vector<free_servers>& racks, int shape)
-{
-    std::sort(racks.begin(),
-              racks.end(),
-              [](const auto& a, const auto& b) { return total(a) > total(b); });
-    int available = 0;
-    for (const auto& rack : racks)
-    {
-        available += total(rack);
-    }
-    if (available < shape)
-    {
-        return false;
-    }
-    for (auto& rack : racks)
-    {
-        const int taken = std::min(shape, total(rack));
-        take(rack, taken);
-        shape -= taken;
-    }
-    return true;
-}
-
-// Largest backend server and largest rack of an availability zone.
-struct spans
+// Capacity of the racks of an availability zone when nothing runs.
+struct zone_capacity
 {
-    int server = 0;
-    int rack = 0;
+    std::vector<capacity> servers;
+    span_limits limits;
 };
 
-spans spans_of(const std::vector<free_servers>& racks)
+zone_capacity capacity_of(const availability_zone& zone)
 {
-    spans result;
-    for (const auto& rack : racks)
+    zone_capacity result;
+    int rack = 0;
+    for (const auto& plan : zone.racks)
     {
-        result.rack = std::max(result.rack, total(rack));
-        for (const int free : rack)
+        capacity server;
+        server.rack = rack++;
+        server.left = {plan.accelerators_per_server, server_info().slots};
+        for (int i = 0; i < plan.servers; ++i)
         {
-            result.server = std::max(result.server, free);
+            server.server = static_cast<int>(result.servers.size());
+            result.servers.push_back(server);
         }
+        auto& limits = result.limits;
+        limits.largest_server =
+            std::max(limits.largest_server, plan.accelerators_per_server);
+        limits.largest_rack = std::max(
+            limits.largest_rack, plan.servers * plan.accelerators_per_server);
     }
     return result;
 }
 
-bool place(std::vector<free_servers>& racks, const spans& largest, int shape)
-{
-    if (shape <= largest.server)
-    {
-        return place_in_server(racks, shape);
-    }
-    if (shape <= largest.rack)
-    {
-        return place_in_rack(racks, shape);
-    }
-    return place_over_racks(racks, shape);
-}
-
 failure found_again(const json_place& at, const std::string& name)
 {
     return wrong_value(at, "\"" + name + "\" again", "each name once");
@@ -354,7 +247,7 @@
 std::vector<shortfall> find_shortfalls(const sheet& plan,
                                        const availability_zone& zone)
 {
-    std::map<int, int, std::greater<>> wanted;
+    shape_counts wanted;
     for (const auto& item : plan.guarantees)
     {
         if (item.zone == zone.name)
@@ -362,19 +255,20 @@
             wanted[item.shape] += item.count;
         }
     }
-    auto racks = free_of(zone);
-    const auto largest = spans_of(racks);
+    const auto zone_servers = capacity_of(zone);
+    const auto packed =
+        pack_blocks(zone_servers.servers, wanted, zone_servers.limits);
+    auto missing = wanted;
+    for (const auto& place : packed.places)
+    {
+        --missing[place.shape];
+    }
     std::vector<shortfall> result;
     for (const auto& [shape, count] : wanted)
     {
-        int placed = 0;
-        while (placed < count && place(racks, largest, shape))
-        {
-            ++placed;
-        }
-        if (placed < count)
+        if (missing[shape] > 0)
         {
-            result.push_back({shape, count, count - placed});
+            result.push_back({shape, count, missing[shape]});
         }
     }
     return result;
--- a/src/config/sheet_check.hpp
+++ b/src/config/sheet_check.hpp
@@ -19,12 +19,11 @@
     int missing = 0;
 };
 
-// Packs the blocks of all guarantees of the availability zone into its racks,
-// largest first: a shape that fits the largest backend server goes to one
-// backend server, one that fits the largest rack to one rack, any other to the
-// fewest racks. Returns the blocks that found no place, largest shape first.
-// Exact for shapes that fit a backend server; for larger ones it may report a
-// shortfall that another packing would avoid. Thread safe.
+// Packs the blocks of all guarantees of the availability zone into its empty
+// racks as the scheduler does, so that a sheet is accepted only if the
+// scheduler can keep it. Returns the blocks that found no place, largest shape
+// first. May report a shortfall that another packing would avoid (see
+// `pack_blocks`). Thread safe.
 std::vector<shortfall> find_shortfalls(const sheet& plan,
                                        const availability_zone& zone);
 
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -382,11 +383,35 @@
     item.respond(json_response({}, std::move(body)));
 }
 
-void api::show_metrics(call& item)
+void api::set_gauges()
 {
     metrics_.set_gauge("poplarramp_config_version",
                        values_.zone,
                        static_cast<double>(control_.config().version));
+    const auto status = control_.handlers().on_status();
+    const bool scheduler = !status.error;
+    if (!scheduler && !was_scheduler_)
+    {
+        return;
+    }
+    was_scheduler_ = true;
+    // The values of a former scheduler are unknown, not what they were.
+    const auto value = [scheduler](int figure)
+    {
+        return scheduler ? static_cast<double>(figure)
+                         : std::numeric_limits<double>::quiet_NaN();
+    };
+    metrics_.set_gauge("poplarramp_free_accelerators",
+                       values_.zone,
+                       value(status.free_accelerators));
+    metrics_.set_gauge("poplarramp_largest_open_shape_accelerators",
+                       values_.zone,
+                       value(status.largest_open_shape));
+}
+
+void api::show_metrics(call& item)
+{
+    set_gauges();
     http_response response;
     response.content_type = "text/plain; version=0.0.4";
     response.body = metrics_.prometheus();
--- a/src/entry/api.hpp
+++ b/src/entry/api.hpp
@@ -75,12 +75,16 @@
     // Time of "wait_until"; now if it is absent. Answers if it is wrong.
     std::optional<time_point> wait_until(call& item) const;
     void record(const job_reply& reply);
+    // Figures of this entry VM and, if it is the scheduler, of its availability
+    // zone.
+    void set_gauges();
 
     controller& control_;
     api_settings values_;
     clock_mapping clock_;
     std::function<time_point()> now_;
     metrics metrics_;
+    bool was_scheduler_ = false;
     bool stopping_ = false;
 };
 
