Test HTTP client, server, limits and adapters on loopback

Cause: the network layer had no automatic tests.

Ruled out: a larger pause for tests that wait for a time limit; they wait for the event and only use short limits of the tested object.

Change: tests with raw connections and scripted servers for oversized, truncated, slow and broken input, silent and lost connections, lost answers, bounds and planned stop. They found that a server whose contexts were stopped with connections open was never freed, because the connections and the state of the server owned each other; the state now refers to them weakly.

--- a/src/backend/http_backend.cpp
+++ b/src/backend/http_backend.cpp
@@ -253,7 +253,7 @@
 void add_lease_hooks(backend_api& hooks, const connector_ptr& to)
 {
     hooks.claim = [to](std::string address,
-                       std::string owner,
+                       const std::string& owner,
                        milliseconds lease,
                        time_point deadline,
                        auto done)
@@ -261,14 +261,14 @@
         send_claim(to, std::move(address), owner, lease, deadline, done);
     };
     hooks.renew = [to](std::string address,
-                       renew_request request,
+                       const renew_request& request,
                        time_point deadline,
                        auto done)
     {
         send_renew(to, std::move(address), request, deadline, done);
     };
     hooks.release = [to](std::string address,
-                         lease_token token,
+                         const lease_token& token,
                          time_point deadline,
                          auto done)
     {
@@ -285,8 +285,8 @@
 void add_start_hooks(backend_api& hooks, const connector_ptr& to)
 {
     hooks.prepare = [to](std::string address,
-                         lease_token token,
-                         task item,
+                         const lease_token& token,
+                         const task& item,
                          time_point commit_deadline,
                          time_point deadline,
                          task_done done)
@@ -295,38 +295,50 @@
         body["task"] = to_json(item, to->clock);
         body["commit_deadline"] =
             static_cast<Json::Int64>(to->clock.to_unix(commit_deadline));
-        send_task_call(
-            to, std::move(address), "/v1/prepare", body, deadline, done);
+        send_task_call(to,
+                       std::move(address),
+                       "/v1/prepare",
+                       body,
+                       deadline,
+                       std::move(done));
     };
     hooks.start = [to](std::string address,
-                       lease_token token,
-                       task item,
+                       const lease_token& token,
+                       const task& item,
                        time_point deadline,
                        task_done done)
     {
         auto body = token_body(token);
         body["task"] = to_json(item, to->clock);
-        send_task_call(
-            to, std::move(address), "/v1/start", body, deadline, done);
+        send_task_call(to,
+                       std::move(address),
+                       "/v1/start",
+                       body,
+                       deadline,
+                       std::move(done));
     };
 }
 
 void add_task_hooks(backend_api& hooks, const connector_ptr& to)
 {
     hooks.commit = [to](std::string address,
-                        lease_token token,
-                        std::string task_id,
+                        const lease_token& token,
+                        const std::string& task_id,
                         time_point deadline,
                         task_done done)
     {
         auto body = token_body(token);
         body["task_id"] = task_id;
-        send_task_call(
-            to, std::move(address), "/v1/commit", body, deadline, done);
+        send_task_call(to,
+                       std::move(address),
+                       "/v1/commit",
+                       body,
+                       deadline,
+                       std::move(done));
     };
     hooks.stop = [to](std::string address,
-                      lease_token token,
-                      std::string task_id,
+                      const lease_token& token,
+                      const std::string& task_id,
                       bool checkpoint,
                       time_point deadline,
                       task_done done)
@@ -334,8 +346,12 @@
         auto body = token_body(token);
         body["task_id"] = task_id;
         body["checkpoint"] = checkpoint;
-        send_task_call(
-            to, std::move(address), "/v1/stop", body, deadline, done);
+        send_task_call(to,
+                       std::move(address),
+                       "/v1/stop",
+                       body,
+                       deadline,
+                       std::move(done));
     };
 }
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -122,7 +122,7 @@
 
 http_caller http_client::caller() const
 {
-    return [self = state_](std::string address,
+    return [self = state_](const std::string& address,
                            http_request request,
                            time_point deadline,
                            std::function<void(http_reply)> done)
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -33,9 +33,9 @@
 // the peer. Closing with unread input resets the connection, and the peer could
 // lose the reply.
 constexpr milliseconds close_limit{500};
-constexpr std::size_t close_read_bytes = 1024 * 1024;
+constexpr std::size_t close_read_bytes = std::size_t{1024} * 1024;
 
-constexpr std::size_t read_bytes = 16 * 1024;
+constexpr std::size_t read_bytes = std::size_t{16} * 1024;
 constexpr int http_1_1 = 11;
 
 constexpr std::array<std::string_view, 4> served_methods{
@@ -47,7 +47,7 @@
            served_methods.end();
 }
 
-http_response error_response(int status, failure error)
+http_response error_response(int status, const failure& error)
 {
     auto response = json_response(error);
     response.status = status;
@@ -186,7 +186,9 @@
         co_return true;
     }
     idle_ = true;
-    arm(stopping_ ? settings_.stop_grace : settings_.idle_limit);
+    const auto limit =
+        request_number_ == 0 ? settings_.header_limit : settings_.idle_limit;
+    arm(stopping_ ? settings_.stop_grace : limit);
     error_code error;
     const auto count = co_await socket_.async_read_some(
         buffer_.prepare(read_bytes),
--- a/src/http/destination.cpp
+++ b/src/http/destination.cpp
@@ -153,6 +153,14 @@
 asio::awaitable<http_reply> destination::call_in_slot(http_request request,
                                                       time_point deadline)
 {
+    if (monotonic_now() >= deadline)
+    {
+        http_reply late;
+        late.error = {result_code::unreachable,
+                      "the deadline passed before the request to " + address_ +
+                          " was sent"};
+        co_return late;
+    }
     repeats_.on_request();
     auto item = take_kept();
     if (item)
@@ -266,7 +274,12 @@
 
 void destination::on_connect_failure()
 {
-    connect_after_ = monotonic_now() + connect_backoff_.next(random_());
+    const auto now = monotonic_now();
+    // Connections that were attempted together count as one failure.
+    if (now >= connect_after_)
+    {
+        connect_after_ = now + connect_backoff_.next(random_());
+    }
 }
 
 asio::awaitable<kept_connection_ptr> destination::connect(time_point deadline,
@@ -292,6 +305,7 @@
         co_return nullptr;
     }
     connect_backoff_.reset();
+    connect_after_ = {};
     stream.socket().set_option(tcp::no_delay(true), error);
     co_return std::make_unique<kept_connection>(std::move(stream));
 }
--- a/src/http/json_reply.cpp
+++ b/src/http/json_reply.cpp
@@ -101,7 +101,7 @@
         return std::nullopt;
     }
     failure syntax;
-    const auto json = parse_json(reply.response.body, syntax);
+    auto json = parse_json(reply.response.body, syntax);
     const auto code = json ? code_in(*json) : std::nullopt;
     if (!code)
     {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <exception>
+#include <memory>
 #include <set>
 #include <utility>
 
@@ -34,7 +35,11 @@
 // without a reply.
 constexpr std::size_t max_refusals = 64;
 
-using connection_ptr = std::shared_ptr<detail::connection>;
+// A connection owns the server's state through its handler, so the state must
+// not own the connection.
+using connection_set =
+    std::set<std::weak_ptr<detail::connection>,
+             std::owner_less<std::weak_ptr<detail::connection>>>;
 
 } // namespace
 
@@ -70,7 +75,7 @@
     tcp::acceptor acceptor;
     asio::steady_timer retry_timer;
     std::uint16_t port = 0;
-    std::set<connection_ptr> connections;
+    connection_set connections;
     std::size_t refusals = 0;
     bool stopping = false;
     bool accepting = false;
@@ -165,25 +170,27 @@
     return [self = shared_from_this()](
                http_request request, std::function<void(http_response)> respond)
     {
-        asio::post(
-            self->control,
-            [self, request = std::move(request), respond = std::move(respond)]
-            {
-                try
-                {
-                    self->handler(request, respond);
-                }
-                catch (const std::exception& error)
-                {
-                    log_line(
-                        log_level::error,
-                        "http",
-                        "a handler failed",
-                        {{"target", request.target}, {"reason", error.what()}});
-                    respond(json_response(
-                        {result_code::internal_error, error.what()}));
-                }
-            });
+        asio::post(self->control,
+                   [self,
+                    request = std::move(request),
+                    respond = std::move(respond)]() mutable
+                   {
+                       const auto target = request.target;
+                       try
+                       {
+                           self->handler(std::move(request), respond);
+                       }
+                       catch (const std::exception& error)
+                       {
+                           log_line(
+                               log_level::error,
+                               "http",
+                               "a handler failed",
+                               {{"target", target}, {"reason", error.what()}});
+                           respond(json_response(
+                               {result_code::internal_error, error.what()}));
+                       }
+                   });
     };
 }
 
@@ -237,9 +244,12 @@
     error_code ignored;
     acceptor.cancel(ignored);
     retry_timer.cancel();
-    for (const auto& item : connections)
+    for (const auto& weak : connections)
     {
-        asio::post(item->executor(), [item] { item->begin_stop(); });
+        if (const auto item = weak.lock())
+        {
+            asio::post(item->executor(), [item] { item->begin_stop(); });
+        }
     }
     report_if_stopped();
 }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -27,9 +27,10 @@
     std::uint16_t port = 0;
     std::size_t max_connections = 1024;
     std::uint32_t max_header_bytes = 16 * 1024;
-    std::uint64_t max_body_bytes = 1024 * 1024;
-    // A request's header and body must arrive within these times from the
-    // first byte, so that a slow client cannot hold a connection.
+    std::uint64_t max_body_bytes = std::uint64_t{1024} * 1024;
+    // The first byte of a new connection and the header of each request must
+    // arrive within `header_limit`, the body within `body_limit`, so that a
+    // slow client cannot hold a connection.
     milliseconds header_limit{5000};
     milliseconds body_limit{10000};
     milliseconds write_limit{10000};
--- /dev/null
+++ b/tests/http_client_test.cpp
@@ -0,0 +1,346 @@
+#include "http_fixture.hpp"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+using namespace poplarramp::testing;
+
+namespace
+{
+
+constexpr milliseconds long_limit{4000};
+constexpr milliseconds short_limit{150};
+
+http_request request_of(std::string body, bool safe)
+{
+    http_request request;
+    request.target = "/x";
+    request.body = std::move(body);
+    request.safe = safe;
+    return request;
+}
+
+// Answers requests until the peer closes.
+void serve_all(raw_connection& peer)
+{
+    while (!peer.receive_request().empty())
+    {
+        peer.send(raw_reply("ok"));
+    }
+}
+
+} // namespace
+
+TEST_GROUP(http_client)
+{
+    loopback net;
+    std::unique_ptr<http_client> client;
+
+    void setup() override
+    {
+        use({});
+    }
+
+    void use(const http_client_settings& settings)
+    {
+        client = std::make_unique<http_client>(
+            net.traffic(), net.control(), settings);
+    }
+
+    http_reply call(const std::string& address,
+                    http_request request,
+                    milliseconds limit = long_limit)
+    {
+        return net.call(client->caller(), address, std::move(request), limit);
+    }
+
+    // Closes the kept connections, for which the scripts wait.
+    void teardown() override
+    {
+        client.reset();
+    }
+};
+
+// Guards against a new connection for each call.
+TEST(http_client, keeps_connections)
+{
+    std::atomic<int> connections = 0;
+    scripted_server server(
+        [&](int, raw_connection& peer)
+        {
+            ++connections;
+            serve_all(peer);
+        });
+    for (int i = 0; i < 5; ++i)
+    {
+        const auto reply = call(server.address(), request_of("a", false));
+        CHECK(reply.error.code == result_code::ok);
+        CHECK(reply.response.body == "ok");
+    }
+    CHECK(connections == 1);
+    client.reset();
+}
+
+// Guards against a connection that went silent and blocks every later call
+// while new connections work.
+TEST(http_client, leaves_a_silent_connection_at_the_deadline)
+{
+    scripted_server server(
+        [](int number, raw_connection& peer)
+        {
+            if (number > 0)
+            {
+                serve_all(peer);
+                return;
+            }
+            peer.receive_request();
+            peer.send(raw_reply("ok"));
+            while (!peer.receive_request().empty())
+            {
+            }
+        });
+    CHECK_FALSE(call(server.address(), request_of("a", false)).error);
+    const auto silent =
+        call(server.address(), request_of("b", true), short_limit);
+    CHECK(silent.error.code == result_code::timeout);
+    CHECK_FALSE(call(server.address(), request_of("c", false)).error);
+    client.reset();
+}
+
+// Guards against a request that is handled twice: only a safe one is repeated
+// when a kept connection ends without a reply.
+TEST(http_client, repeats_only_safe_requests_on_a_new_connection)
+{
+    for (const bool safe : {true, false})
+    {
+        std::atomic<int> requests = 0;
+        scripted_server server(
+            [&](int number, raw_connection& peer)
+            {
+                while (!peer.receive_request().empty())
+                {
+                    if (++requests == 2 && number == 0)
+                    {
+                        return;
+                    }
+                    peer.send(raw_reply("ok"));
+                }
+            });
+        CHECK_FALSE(call(server.address(), request_of("a", false)).error);
+        const auto reply = call(server.address(), request_of("b", safe));
+        CHECK(reply.error.code ==
+              (safe ? result_code::ok : result_code::answer_lost));
+        CHECK(requests == (safe ? 3 : 2));
+        use({});
+    }
+}
+
+// Guards against a repeat after part of a reply: the request was handled.
+TEST(http_client, does_not_repeat_after_the_first_byte_of_the_reply)
+{
+    std::atomic<int> requests = 0;
+    scripted_server server(
+        [&](int, raw_connection& peer)
+        {
+            while (!peer.receive_request().empty())
+            {
+                if (++requests == 2)
+                {
+                    peer.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n1");
+                    return;
+                }
+                peer.send(raw_reply("ok"));
+            }
+        });
+    CHECK_FALSE(call(server.address(), request_of("a", true)).error);
+    const auto reply = call(server.address(), request_of("b", true));
+    CHECK(reply.error.code == result_code::answer_lost);
+    CHECK(requests == 2);
+    client.reset();
+}
+
+// Guards against an error for a request that cannot have been handled, because
+// a kept connection ended before all of it was sent.
+TEST(http_client, repeats_a_request_that_was_not_wholly_sent)
+{
+    // More than the socket buffers of both sides hold.
+    const std::string large(std::size_t{32} * 1024 * 1024, 'x');
+    std::atomic<int> whole = 0;
+    scripted_server server(
+        [&](int number, raw_connection& peer)
+        {
+            while (!peer.receive_request().empty())
+            {
+                ++whole;
+                peer.send(raw_reply("ok"));
+                if (number == 0)
+                {
+                    peer.receive();
+                    return;
+                }
+            }
+        });
+    CHECK_FALSE(call(server.address(), request_of("a", false)).error);
+    const auto reply = call(server.address(), request_of(large, false));
+    CHECK(reply.error.code == result_code::ok);
+    CHECK(whole == 2);
+    client.reset();
+}
+
+// Guards against a request on a connection that the server closed before.
+TEST(http_client, notices_a_closed_connection_before_it_sends)
+{
+    std::atomic<int> closed = 0;
+    scripted_server server(
+        [&](int, raw_connection& peer)
+        {
+            peer.receive_request();
+            peer.send(raw_reply("ok"));
+            peer.end_sending();
+            ++closed;
+            peer.receive();
+        });
+    for (int i = 1; i < 4; ++i)
+    {
+        CHECK_FALSE(call(server.address(), request_of("a", false)).error);
+        CHECK(net.run_until([&] { return closed == i; }));
+    }
+    client.reset();
+}
+
+// Guards against the report "not sent" for a request that may have been
+// handled.
+TEST(http_client, tells_lost_answers_from_requests_not_sent)
+{
+    const std::vector<std::string> replies{
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n1",
+        "this is not HTTP\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"};
+    for (const auto& bytes : replies)
+    {
+        scripted_server server(
+            [&bytes](int, raw_connection& peer)
+            {
+                peer.receive_request();
+                peer.send(bytes);
+            });
+        const auto reply = call(server.address(), request_of("a", false));
+        CHECK(reply.error.code == result_code::answer_lost);
+    }
+    CHECK(call("not an address", request_of("a", false)).error.code ==
+          result_code::unreachable);
+    CHECK(call("127.0.0.1:0", request_of("a", false)).error.code ==
+          result_code::unreachable);
+}
+
+// Guards against a call without an end: no reply, no deadline kept.
+TEST(http_client, ends_at_the_deadline)
+{
+    scripted_server server([](int, raw_connection& peer)
+                           { peer.receive_all(); });
+    const auto start = monotonic_now();
+    const auto reply =
+        call(server.address(), request_of("a", true), short_limit);
+    CHECK(reply.error.code == result_code::timeout);
+    CHECK(monotonic_now() - start >= short_limit);
+    CHECK(monotonic_now() - start < long_limit / 2);
+    const auto late =
+        call(server.address(), request_of("a", true), milliseconds(-1));
+    CHECK(late.error.code == result_code::unreachable);
+}
+
+// Guards against more connections than the destination allows, and against a
+// call that waits for one beyond its deadline.
+TEST(http_client, bounds_the_connections_of_an_address)
+{
+    http_client_settings settings;
+    settings.max_connections = 2;
+    use(settings);
+    std::atomic<int> open = 0;
+    std::atomic<int> most = 0;
+    std::atomic<bool> answer = false;
+    scripted_server server(
+        [&](int, raw_connection& peer)
+        {
+            most = std::max(most.load(), ++open);
+            while (!peer.receive_request().empty())
+            {
+                while (!answer)
+                {
+                    std::this_thread::sleep_for(milliseconds(1));
+                }
+                peer.send(raw_reply("ok"));
+            }
+            --open;
+        });
+    std::vector<result_code> codes;
+    const auto caller = client->caller();
+    const auto send = [&](milliseconds limit)
+    {
+        caller(server.address(),
+               request_of("a", false),
+               monotonic_now() + limit,
+               [&codes](const http_reply& reply)
+               { codes.push_back(reply.error.code); });
+    };
+    for (int i = 0; i < 6; ++i)
+    {
+        send(long_limit);
+    }
+    send(short_limit);
+    CHECK(net.run_until([&] { return codes.size() == 1; }));
+    CHECK(codes[0] == result_code::unreachable);
+    answer = true;
+    CHECK(net.run_until([&] { return codes.size() == 7; }));
+    for (std::size_t i = 1; i < codes.size(); ++i)
+    {
+        CHECK(codes[i] == result_code::ok);
+    }
+    CHECK(most <= 2);
+    client.reset();
+}
+
+// Guards against a stream of connection attempts to a dead address, and
+// against an address that stays avoided after it is back.
+TEST(http_client, backs_off_from_a_dead_address)
+{
+    http_client_settings settings;
+    settings.connect_backoff = {milliseconds(600), milliseconds(600)};
+    use(settings);
+    http_server_settings at;
+    {
+        // Finds a free port.
+        http_server probe(net.traffic(), net.control(), at, [](auto, auto) {});
+        failure why;
+        CHECK(probe.listen(why));
+        at.port = probe.port();
+        bool stopped = false;
+        probe.stop([&] { stopped = true; });
+        CHECK(net.run_until([&] { return stopped; }));
+    }
+    const auto address = address_of(at.port);
+    CHECK(call(address, request_of("a", false)).error.code ==
+          result_code::unreachable);
+
+    http_server server(net.traffic(),
+                       net.control(),
+                       at,
+                       [](auto, const auto& respond) { respond({}); });
+    failure why;
+    CHECK(server.listen(why));
+    const auto start = monotonic_now();
+    const auto during =
+        call(address, request_of("a", false), milliseconds(100));
+    CHECK(during.error.code == result_code::unreachable);
+    CHECK(monotonic_now() - start < milliseconds(100));
+    CHECK_FALSE(call(address, request_of("a", false)).error);
+    CHECK_FALSE(call(address, request_of("a", false), milliseconds(500)).error);
+}
--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,359 @@
+#include "http_fixture.hpp"
+
+#include "http/json_reply.hpp"
+#include "model/codec.hpp"
+
+#include <atomic>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+using namespace poplarramp::testing;
+
+namespace
+{
+
+http_server_settings small_limits()
+{
+    http_server_settings settings;
+    settings.max_connections = 3;
+    settings.max_header_bytes = 1024;
+    settings.max_body_bytes = 4096;
+    settings.header_limit = milliseconds(200);
+    settings.body_limit = milliseconds(200);
+    settings.idle_limit = milliseconds(400);
+    settings.stop_grace = milliseconds(100);
+    return settings;
+}
+
+// Body of the last reply in the bytes that a connection received.
+std::string last_body(const std::string& bytes)
+{
+    const auto start = bytes.rfind("\r\n\r\n");
+    return start == std::string::npos ? "" : bytes.substr(start + 4);
+}
+
+} // namespace
+
+TEST_GROUP(http_server)
+{
+    loopback net;
+    std::unique_ptr<http_server> server;
+    std::vector<http_request> handled;
+    // Requests to /hold are answered when the test does so.
+    std::vector<std::function<void(http_response)>> held;
+
+    void setup() override
+    {
+        server = std::make_unique<http_server>(
+            net.traffic(),
+            net.control(),
+            small_limits(),
+            [this](http_request request, auto respond)
+            { handle(std::move(request), respond); });
+        failure why;
+        CHECK(server->listen(why));
+    }
+
+    void teardown() override
+    {
+        server.reset();
+    }
+
+    void handle(http_request request,
+                const std::function<void(http_response)>& respond)
+    {
+        handled.push_back(request);
+        if (request.target == "/throw")
+        {
+            throw std::runtime_error("handler fault");
+        }
+        if (request.target == "/hold")
+        {
+            held.push_back(respond);
+            return;
+        }
+        Json::Value fields;
+        fields["body"] = request.body;
+        respond(json_response({}, fields));
+    }
+
+    // Runs a blocking exchange beside the control thread.
+    std::string beside(const std::function<std::string()>& exchange)
+    {
+        std::atomic<bool> ended = false;
+        std::string result;
+        std::thread peer(
+            [&]
+            {
+                result = exchange();
+                ended = true;
+            });
+        const bool in_time = net.run_until([&] { return ended.load(); });
+        peer.join();
+        CHECK(in_time);
+        return result;
+    }
+
+    // Sends bytes, ends the sending direction, and returns all that comes back.
+    std::string send_and_close(const std::string& bytes)
+    {
+        return beside(
+            [&]
+            {
+                const auto peer = raw_connection::to(server->port());
+                peer.send(bytes);
+                peer.end_sending();
+                return peer.receive_all();
+            });
+    }
+
+    // Sends bytes and returns all that comes back until the server closes.
+    std::string send_and_wait(const std::string& bytes)
+    {
+        return beside(
+            [&]
+            {
+                const auto peer = raw_connection::to(server->port());
+                peer.send(bytes);
+                return peer.receive_all();
+            });
+    }
+
+    void check_error(const std::string& received,
+                     const std::string& status,
+                     result_code code)
+    {
+        STRNCMP_EQUAL(("HTTP/1.1 " + status).c_str(),
+                      received.c_str(),
+                      std::string("HTTP/1.1 ").size() + status.size());
+        failure why;
+        const auto json = parse_json(last_body(received), why);
+        CHECK(json.has_value());
+        CHECK((*json)["code"].asInt() == static_cast<int>(code));
+        CHECK((*json)["result"].asString() == name_of(code));
+        CHECK_FALSE((*json)["reason"].asString().empty());
+    }
+
+    void check_still_serves()
+    {
+        const auto received = send_and_close("GET /after HTTP/1.1\r\n\r\n");
+        STRNCMP_EQUAL("HTTP/1.1 200", received.c_str(), 12);
+    }
+};
+
+// Guards against parts of a request that are lost on the way to the handler.
+TEST(http_server, hands_over_the_whole_request)
+{
+    send_and_close("PUT /v1/x?y=1 HTTP/1.1\r\nAuthorization: Bearer t\r\n"
+                   "Content-Type: text/plain\r\nContent-Length: 4\r\n\r\nbody");
+    CHECK(handled.size() == 1);
+    CHECK(handled[0].method == "PUT");
+    CHECK(handled[0].target == "/v1/x?y=1");
+    CHECK(handled[0].authorization == "Bearer t");
+    CHECK(handled[0].content_type == "text/plain");
+    CHECK(handled[0].body == "body");
+}
+
+// Guards against bytes that are not HTTP: they must get a reason, never reach
+// the handler, and not disturb other connections.
+TEST(http_server, answers_broken_input)
+{
+    for (const std::string broken :
+         {"\x16\x03\x01\x02\x01 not http\r\n\r\n",
+          "GET\r\n\r\n",
+          "GET / HTTP/9.9\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\nab",
+          "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 2\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"})
+    {
+        check_error(send_and_wait(broken), "400", result_code::bad_request);
+    }
+    CHECK(handled.empty());
+    check_still_serves();
+}
+
+// Guards against methods and targets that no handler expects.
+TEST(http_server, refuses_wrong_method_and_target)
+{
+    check_error(send_and_close("TRACE / HTTP/1.1\r\n\r\n"),
+                "405",
+                result_code::method_not_allowed);
+    check_error(send_and_close("BREW / HTTP/1.1\r\n\r\n"),
+                "405",
+                result_code::method_not_allowed);
+    check_error(send_and_close("GET http://x/ HTTP/1.1\r\n\r\n"),
+                "400",
+                result_code::bad_request);
+    CHECK(handled.empty());
+}
+
+// Guards against a header or body that uses up the memory of the entry VM,
+// whether its length is declared or not.
+TEST(http_server, refuses_oversized_input)
+{
+    const std::string huge(100'000, 'x');
+    check_error(send_and_wait("GET / HTTP/1.1\r\nX: " + huge + "\r\n\r\n"),
+                "431",
+                result_code::bad_request);
+    check_error(send_and_wait(
+                    "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + huge),
+                "413",
+                result_code::body_too_large);
+    check_error(
+        send_and_wait("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "186a0\r\n" +
+                      huge),
+        "413",
+        result_code::body_too_large);
+    CHECK(handled.empty());
+    check_still_serves();
+}
+
+// Guards against a request that is cut off and handled as if it were whole.
+TEST(http_server, refuses_truncated_input)
+{
+    check_error(send_and_close("POST /x HTTP/1.1\r\nContent-Le"),
+                "400",
+                result_code::bad_request);
+    check_error(
+        send_and_close("POST /x HTTP/1.1\r\nContent-Length: 10\r\n\r\nshort"),
+        "400",
+        result_code::bad_request);
+    CHECK(handled.empty());
+}
+
+// Guards against slow clients that hold connections: header, body and first
+// byte have a limit in time.
+TEST(http_server, ends_slow_clients)
+{
+    check_error(
+        send_and_wait("POST / HTTP/1.1\r\nX"), "408", result_code::bad_request);
+    check_error(
+        send_and_wait("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nab"),
+        "408",
+        result_code::bad_request);
+    CHECK(send_and_wait("").empty());
+    CHECK(handled.empty());
+}
+
+// Guards against a client that sends one byte at a time and so never lets a
+// limit between two bytes pass.
+TEST(http_server, limits_the_time_of_the_whole_header)
+{
+    const auto received = beside(
+        [&]
+        {
+            const auto peer = raw_connection::to(server->port());
+            peer.send("GET / HTTP/1.1\r\nX: ");
+            for (int i = 0; i < 20; ++i)
+            {
+                std::this_thread::sleep_for(milliseconds(20));
+                peer.send("y");
+            }
+            return peer.receive_all();
+        });
+    check_error(received, "408", result_code::bad_request);
+}
+
+// Guards against replies that overtake each other on one connection.
+TEST(http_server, serves_pipelined_requests_in_order)
+{
+    const auto received =
+        send_and_close("POST /1 HTTP/1.1\r\nContent-Length: 3\r\n\r\none"
+                       "POST /2 HTTP/1.1\r\nContent-Length: 3\r\n\r\ntwo"
+                       "nonsense\r\n\r\n");
+    const auto one = received.find("\"one\"");
+    const auto two = received.find("\"two\"");
+    const auto error = received.find("bad_request");
+    CHECK(one < two);
+    CHECK(two < error);
+    CHECK(error != std::string::npos);
+    CHECK(handled.size() == 2);
+}
+
+// Guards against an exception in a handler that ends the process.
+TEST(http_server, answers_when_the_handler_throws)
+{
+    check_error(send_and_close("GET /throw HTTP/1.1\r\n\r\n"),
+                "500",
+                result_code::internal_error);
+    check_still_serves();
+}
+
+// Guards against connections that use up the process: those beyond the limit
+// are told so, and served again when others end.
+TEST(http_server, refuses_connections_beyond_the_limit)
+{
+    const auto received = beside(
+        [&]
+        {
+            std::vector<raw_connection> open;
+            for (std::size_t i = 0; i < small_limits().max_connections; ++i)
+            {
+                open.push_back(raw_connection::to(server->port()));
+                open.back().send("GET /x HTTP/1.1\r\n\r\n");
+                open.back().receive();
+            }
+            return raw_connection::to(server->port()).receive_all();
+        });
+    check_error(received, "429", result_code::shed);
+    net.run_for(milliseconds(20));
+    check_still_serves();
+}
+
+// Guards against a planned stop that interrupts a request in flight, also one
+// that arrives on a kept connection as the stop begins.
+TEST(http_server, stop_finishes_requests_in_flight)
+{
+    std::atomic<int> replies = 0;
+    const auto request_hold = [&]
+    {
+        const auto peer = raw_connection::to(server->port());
+        peer.send("GET /hold HTTP/1.1\r\n\r\n");
+        const auto received = peer.receive_all();
+        replies += received.find("\"late\"") != std::string::npos ? 1 : 0;
+    };
+    const auto kept = raw_connection::to(server->port());
+    kept.send("GET /1 HTTP/1.1\r\n\r\n");
+    CHECK(net.run_until([&] { return handled.size() == 1; }));
+    CHECK(kept.receive().find("200 OK") != std::string::npos);
+    std::thread waiting(request_hold);
+    CHECK(net.run_until([&] { return held.size() == 1; }));
+
+    bool stopped = false;
+    server->stop([&] { stopped = true; });
+    kept.send("GET /2 HTTP/1.1\r\n\r\n");
+    CHECK(net.run_until([&] { return handled.size() == 3; }));
+    CHECK(kept.receive_all().find("Connection: close") != std::string::npos);
+    net.run_for(milliseconds(50));
+    CHECK_FALSE(stopped);
+
+    Json::Value fields;
+    fields["body"] = "late";
+    held[0](json_response({}, fields));
+    CHECK(net.run_until([&] { return stopped; }));
+    waiting.join();
+    CHECK(replies == 1);
+}
+
+// Guards against a port in use that is noticed only when no request arrives.
+TEST(http_server, reports_a_port_in_use)
+{
+    auto settings = small_limits();
+    settings.port = server->port();
+    http_server second(
+        net.traffic(), net.control(), settings, [](auto, auto) {});
+    failure why;
+    CHECK_FALSE(second.listen(why));
+    CHECK(why.code == result_code::bad_settings);
+}
--- /dev/null
+++ b/tests/limits_breaker_test.cpp
@@ -0,0 +1,110 @@
+#include "limits/circuit_breaker.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+
+namespace
+{
+
+constexpr circuit_breaker_settings test_settings{
+    3, milliseconds(1000), milliseconds(5000)};
+
+time_point at(int ms)
+{
+    return time_point(milliseconds(ms));
+}
+
+circuit_breaker opened_at(int ms)
+{
+    circuit_breaker breaker(test_settings);
+    for (int i = 0; i < test_settings.failures_to_open; ++i)
+    {
+        breaker.allow(at(ms));
+        breaker.on_failure(at(ms));
+    }
+    return breaker;
+}
+
+} // namespace
+
+TEST_GROUP(circuit_breaker){};
+
+// Guards against calls that each wait for their deadline during an outage.
+TEST(circuit_breaker, opens_after_consecutive_failures)
+{
+    circuit_breaker breaker(test_settings);
+    breaker.on_failure(at(0));
+    breaker.on_failure(at(0));
+    CHECK(breaker.allow(at(0)));
+    breaker.on_failure(at(0));
+    CHECK_FALSE(breaker.allow(at(0)));
+    CHECK_FALSE(breaker.allow(at(999)));
+    CHECK(breaker.state(at(999)) == circuit_state::open);
+}
+
+// Guards against a circuit that opens on rare failures among many successes.
+TEST(circuit_breaker, success_resets_the_count)
+{
+    circuit_breaker breaker(test_settings);
+    for (int i = 0; i < 10; ++i)
+    {
+        breaker.on_failure(at(i));
+        breaker.on_failure(at(i));
+        breaker.on_success();
+    }
+    CHECK(breaker.state(at(10)) == circuit_state::closed);
+}
+
+// Guards against a flood of calls to a service that is just recovering.
+TEST(circuit_breaker, half_open_allows_one_probe)
+{
+    auto breaker = opened_at(0);
+    CHECK(breaker.allow(at(1000)));
+    CHECK_FALSE(breaker.allow(at(1000)));
+    CHECK_FALSE(breaker.allow(at(2000)));
+    breaker.on_success();
+    CHECK(breaker.allow(at(2000)));
+    CHECK(breaker.state(at(2000)) == circuit_state::closed);
+}
+
+// Guards against a circuit that closes although the probe failed.
+TEST(circuit_breaker, failed_probe_opens_again)
+{
+    auto breaker = opened_at(0);
+    CHECK(breaker.allow(at(1000)));
+    breaker.on_failure(at(1500));
+    CHECK_FALSE(breaker.allow(at(2499)));
+    CHECK(breaker.allow(at(2500)));
+}
+
+// Guards against a circuit that stays open forever because the outcome of a
+// probe was never reported.
+TEST(circuit_breaker, lost_probe_is_replaced)
+{
+    auto breaker = opened_at(0);
+    CHECK(breaker.allow(at(1000)));
+    CHECK_FALSE(breaker.allow(at(5999)));
+    CHECK(breaker.allow(at(6000)));
+}
+
+// Guards against a write of unknown outcome as the probe.
+TEST(circuit_breaker, calls_that_may_not_probe_wait_for_the_probe)
+{
+    auto breaker = opened_at(0);
+    CHECK_FALSE(breaker.allow(at(1000), false));
+    CHECK(breaker.allow(at(1000), true));
+    breaker.on_success();
+    CHECK(breaker.allow(at(1001), false));
+}
+
+// Guards against a late success of a call from before the outage that closes
+// the circuit, and against a late failure that prolongs it.
+TEST(circuit_breaker, late_outcomes_do_not_count_while_open)
+{
+    auto breaker = opened_at(0);
+    breaker.on_success();
+    CHECK_FALSE(breaker.allow(at(500)));
+    breaker.on_failure(at(900));
+    CHECK(breaker.allow(at(1000)));
+}
--- a/tests/standin/host.cpp
+++ b/tests/standin/host.cpp
@@ -24,7 +24,7 @@
 
 // Objects in the object store and lists of tasks are larger than callers'
 // requests.
-constexpr std::uint64_t max_body_bytes = 16 * 1024 * 1024;
+constexpr std::uint64_t max_body_bytes = std::uint64_t{16} * 1024 * 1024;
 
 // Held requests would keep a planned stop from ending.
 constexpr milliseconds stop_limit{3000};
@@ -94,6 +94,7 @@
 {
     const auto guard = asio::make_work_guard(state_->traffic);
     std::vector<std::thread> threads;
+    threads.reserve(traffic_thread_count);
     for (int i = 0; i < traffic_thread_count; ++i)
     {
         threads.emplace_back([this] { state_->traffic.run(); });
