Repeat a submit until its outcome is certain

Cause: with a table that answers nothing, the entry VM replied answer_lost; the command took that for an accepted job, asked for it, got circuit_open and ended with "failed" although repeating the key would have run the job (trial with the stand-in's silent outage).

Change: the command counts a job as submitted only after `pending`, and repeats after every 5xx code but internal_error.

--- a/src/cli/http_sender.cpp
+++ b/src/cli/http_sender.cpp
@@ -62,9 +62,8 @@
                      " without a result from " + server},
                 {}};
     }
-    const auto& reason = (*body)["reason"];
     const failure result{code_of((*body)["result"].asString()),
-                         reason.isString() ? reason.asString() : ""};
+                         body->get("reason", "").asString()};
     return {true, result, std::move(*body)};
 }
 
--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -300,14 +300,28 @@
                        true);
 }
 
-// The same request may succeed later: no reply, no certain reply, or a job
-// that has not ended.
+// Repeating the request may tell more: no reply, no certain reply, or a job
+// that has not ended. A 5xx code says that the outcome is not known.
 bool is_worth_repeating(const api_reply& reply)
 {
-    return !reply.answered || reply.result.code == result_code::pending ||
-           reply.result.code == result_code::answer_lost ||
-           reply.result.code == result_code::timeout ||
-           reply.result.code == result_code::vm_stopping;
+    const auto code = reply.result.code;
+    const bool uncertain =
+        code >= result_code::timeout && code != result_code::internal_error;
+    return !reply.answered || uncertain || code == result_code::pending ||
+           code == result_code::vm_stopping;
+}
+
+// Decides whether the job is to be submitted again. A job that an entry VM took
+// without a row is unknown to the others.
+bool is_submitted(const job_wait& job, const api_reply& reply)
+{
+    if (job.body.empty())
+    {
+        return true;
+    }
+    return reply.answered &&
+           (reply.result.code == result_code::pending ||
+            (job.submitted && reply.result.code != result_code::not_found));
 }
 
 // Submits and waits in slices until the job has ended or the wait is over. The
@@ -324,14 +338,11 @@
     {
         const auto left = std::max(milliseconds(0), end - monotonic_now());
         reply = ask_for_job(job, std::min(left, longest_call), client);
-        const bool lost = job.submitted && !job.body.empty() &&
-                          reply.result.code == result_code::not_found;
-        job.submitted = !lost && (job.submitted || reply.answered);
-        if (!lost && !is_worth_repeating(reply))
-        {
-            break;
-        }
-        if (monotonic_now() >= end)
+        const bool was_submitted = job.submitted;
+        job.submitted = is_submitted(job, reply);
+        const bool lost = was_submitted && !job.submitted;
+        const bool over = !lost && !is_worth_repeating(reply);
+        if (over || monotonic_now() >= end)
         {
             break;
         }
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -22,17 +22,21 @@
     std::ostringstream errors;
     // Servers that were called, in order.
     std::vector<std::string> called;
+    std::vector<std::string> methods;
     // Number of calls that fail first, and how.
     int failing = 0;
     result_code fault = result_code::unreachable;
+    // The entry VM itself answers with the fault.
+    bool fault_is_answered = false;
 
     api_reply send(const std::string& server, const http_request& request)
     {
         called.push_back(server);
+        methods.push_back(request.method);
         if (failing > 0)
         {
             --failing;
-            return {false, {fault, "fault"}, {}};
+            return {fault_is_answered, {fault, "fault"}, {}};
         }
         const auto answer = entry.call(request);
         return {true,
@@ -77,6 +81,18 @@
     CHECK(text.str().find("done") != std::string::npos);
 }
 
+// Guards against a command that asks for a job whose submit had no certain
+// outcome, instead of submitting it again with the same key.
+TEST(cli, submit_is_repeated_until_the_outcome_is_certain)
+{
+    failing = 2;
+    fault = result_code::answer_lost;
+    fault_is_answered = true;
+    CHECK(run_submit("k2") == exit_ok);
+    CHECK(methods == (std::vector<std::string>{"POST", "POST", "POST"}));
+    CHECK(entry.world.runs_of("umkhonto/k2") == 1);
+}
+
 // Guards against a change that is sent twice although the first may have been
 // made.
 TEST(cli, does_not_repeat_an_uncertain_change)
