Keep unknown outcomes apart from refusals in replies

Cause: a 5xx code inside a reply, such as `unreachable`, tells what happened to a call of the answering process, but the adapters passed it on as if their own call had not been sent. A connection refused with `shed` did not reach the platform, but was not told as such.

Ruled out: a second set of codes for the adapters; the classes of table.hpp and backend_api.hpp suffice.

Requests carry the peer's address, so that the stand-in can silence the connections that are open. The stand-in lets a task end that ends before its checkpoint is saved.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -47,6 +47,15 @@
            served_methods.end();
 }
 
+std::string peer_of(const asio::ip::tcp::socket& socket)
+{
+    error_code error;
+    const auto peer = socket.remote_endpoint(error);
+    return error
+               ? ""
+               : peer.address().to_string() + ":" + std::to_string(peer.port());
+}
+
 http_response error_response(int status, const failure& error)
 {
     auto response = json_response(error);
@@ -79,6 +88,10 @@
         return error_response(
             400, {result_code::bad_request, "request is truncated"});
     }
+    if (error == http::error::end_of_stream)
+    {
+        return std::nullopt;
+    }
     if (error.category() == make_error_code(http::error::bad_method).category())
     {
         return error_response(
@@ -123,7 +136,7 @@
                        http_handler dispatch)
     : socket_(std::move(socket)), limit_timer_(socket_.get_executor()),
       response_timer_(socket_.get_executor()), settings_(settings),
-      dispatch_(std::move(dispatch))
+      dispatch_(std::move(dispatch)), peer_(peer_of(socket_))
 {
 }
 
@@ -151,7 +164,9 @@
             break;
         }
         const bool keep = input.get().keep_alive();
-        auto response = co_await handle(to_request(input.get()));
+        auto request = to_request(input.get());
+        request.peer = peer_;
+        auto response = co_await handle(std::move(request));
         const bool kept = co_await write(std::move(response), keep);
         if (!kept)
         {
--- a/src/http/connection.hpp
+++ b/src/http/connection.hpp
@@ -66,6 +66,7 @@
     boost::beast::flat_buffer buffer_;
     http_server_settings settings_;
     http_handler dispatch_;
+    std::string peer_;
     std::optional<http_response> response_;
     // Number of the request in flight; a `respond` of an earlier one is
     // ignored.
--- a/src/http/json_reply.cpp
+++ b/src/http/json_reply.cpp
@@ -21,6 +21,11 @@
             " is not {code, result}: " + response.body.substr(0, max_quoted)};
 }
 
+bool is_outcome_unknown(result_code code)
+{
+    return static_cast<int>(code) >= 500;
+}
+
 // Code of a reply; nothing if its members are missing or contradict each other.
 std::optional<result_code> code_in(const Json::Value& json)
 {
@@ -113,7 +118,8 @@
         return json;
     }
     const auto& reason = (*json)["reason"];
-    why = {*code, reason.isString() ? reason.asString() : ""};
+    why = {is_outcome_unknown(*code) ? result_code::answer_lost : *code,
+           reason.isString() ? reason.asString() : ""};
     return std::nullopt;
 }
 
--- a/src/http/json_reply.hpp
+++ b/src/http/json_reply.hpp
@@ -20,9 +20,12 @@
 // `fields` with the code, its name and, for a failure, the reason.
 http_response json_response(const failure& error, Json::Value fields = {});
 
-// Reply whose members are the result; null and the cause in `why` if the call
-// failed, the reply carries a code other than `ok` or `pending`, or it is not
-// such a reply (`answer_lost`: the request may have been handled).
+// Reply whose members are the result. Otherwise nothing, and in `why`
+// - the error of the call;
+// - the code of the reply if it is neither `ok` nor `pending`;
+// - `answer_lost` if that is a 5xx code, which tells what happened to a call of
+//   the server's own, or if the reply is not of this form: the request may have
+//   been handled.
 std::optional<Json::Value> json_reply_of(const http_reply& reply, failure& why);
 
 } // namespace poplarramp
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -23,6 +23,8 @@
     // Handling the request twice does the same as handling it once, so the
     // client may send it again. Not on the wire.
     bool safe = false;
+    // "ip:port" of the peer, set by the server. Not on the wire.
+    std::string peer;
 };
 
 struct http_response
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -25,9 +25,9 @@
 // What the caller is told about a call that failed in this way.
 failure as_store_failure(const failure& error)
 {
-    if (error.code == result_code::unreachable)
+    if (error.code == result_code::unreachable || is_not_run(error.code))
     {
-        return {result_code::store_unavailable, "not sent: " + error.reason};
+        return {result_code::store_unavailable, error.reason};
     }
     return error;
 }
@@ -61,7 +61,7 @@
     {
     }
 
-    // `done` gets the reply with the failure that its caller is to see.
+    // `done` gets the reply, or `circuit_open`.
     void call(http_request request,
               probing may_probe,
               time_point deadline,
@@ -79,7 +79,7 @@
                      done = std::move(done)](http_reply reply)
                     {
                         self->note_outcome(reply);
-                        reply.error = as_store_failure(reply.error);
+
                         done(std::move(reply));
                     });
     }
@@ -167,12 +167,20 @@
     return {result_code::answer_lost, "reply not understood: " + why.reason};
 }
 
+// Reply of the platform, or nothing and what its caller is told.
+std::optional<Json::Value> reply_of(const http_reply& reply, failure& why)
+{
+    auto json = json_reply_of(reply, why);
+    why = as_store_failure(why);
+    return json;
+}
+
 // Decodes a reply with `decode`; on failure returns nothing and fills `why`.
 template <class Decode>
 auto decoded(const http_reply& reply, failure& why, const Decode& decode)
     -> decltype(decode(Json::Value(), why))
 {
-    const auto json = json_reply_of(reply, why);
+    const auto json = reply_of(reply, why);
     if (!json)
     {
         return std::nullopt;
@@ -283,7 +291,7 @@
                  [done](const http_reply& reply)
                  {
                      failure why;
-                     json_reply_of(reply, why);
+                     reply_of(reply, why);
                      done(why);
                  });
 }
@@ -300,17 +308,11 @@
                  [done](http_reply reply)
                  {
                      object_reply result;
-                     result.error = reply.error;
-                     if (reply.error)
-                     {
-                         done(std::move(result));
-                         return;
-                     }
-                     if (reply.response.status == status_ok)
+                     if (!reply.error && reply.response.status == status_ok)
                      {
                          result.content = std::move(reply.response.body);
                      }
-                     else if (json_reply_of(reply, result.error))
+                     else if (reply_of(reply, result.error))
                      {
                          result.error = as_answer_lost(
                              {result_code::ok, "no content in the reply"});
--- a/tests/adapter_backend_test.cpp
+++ b/tests/adapter_backend_test.cpp
@@ -278,6 +278,8 @@
         answer_with({}, fields);
         CHECK(start().error.code == result_code::answer_lost);
     }
+    answer_with({result_code::unreachable, "the server's own trouble"});
+    CHECK(start().error.code == result_code::answer_lost);
     answer = http_response{500, "stack trace", "text/plain"};
     CHECK(start().error.code == result_code::answer_lost);
     answer = http_response{close_without_reply, "", ""};
--- a/tests/adapter_platform_test.cpp
+++ b/tests/adapter_platform_test.cpp
@@ -184,6 +184,14 @@
         answer_with({}, text);
         CHECK(write().error.code == result_code::answer_lost);
     }
+    for (const auto code : {result_code::internal_error,
+                            result_code::unreachable,
+                            result_code::circuit_open})
+    {
+        connect(address_of(server->port()));
+        answer_with({code, "the platform's own trouble"});
+        CHECK(write().error.code == result_code::answer_lost);
+    }
     for (const auto& body :
          {"<html>bad gateway</html>", "", "[]", R"({"code":0})"})
     {
@@ -205,6 +213,9 @@
     answer_with({result_code::store_unavailable, "outage"});
     CHECK(write().error.code == result_code::store_unavailable);
 
+    answer_with({result_code::shed, "too many connections, not run"});
+    CHECK(write().error.code == result_code::store_unavailable);
+
     connect("127.0.0.1:1");
     CHECK(write().error.code == result_code::store_unavailable);
 }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -27,6 +27,7 @@
     settings.max_body_bytes = 4096;
     settings.header_limit = milliseconds(200);
     settings.body_limit = milliseconds(200);
+    settings.write_limit = milliseconds(300);
     settings.idle_limit = milliseconds(400);
     settings.stop_grace = milliseconds(100);
     return settings;
@@ -55,8 +56,8 @@
             net.traffic(),
             net.control(),
             small_limits(),
-            [this](http_request request, auto respond)
-            { handle(std::move(request), respond); });
+            [this](const http_request& request, auto respond)
+            { handle(request, respond); });
         failure why;
         CHECK(server->listen(why));
     }
@@ -66,7 +67,7 @@
         server.reset();
     }
 
-    void handle(http_request request,
+    void handle(const http_request& request,
                 const std::function<void(http_response)>& respond)
     {
         handled.push_back(request);
@@ -74,6 +75,13 @@
         {
             throw std::runtime_error("handler fault");
         }
+        if (request.target == "/large")
+        {
+            http_response large;
+            large.body.assign(std::size_t{32} * 1024 * 1024, 'x');
+            respond(std::move(large));
+            return;
+        }
         if (request.target == "/hold")
         {
             held.push_back(respond);
@@ -165,16 +173,20 @@
 // the handler, and not disturb other connections.
 TEST(http_server, answers_broken_input)
 {
-    for (const std::string broken :
-         {"\x16\x03\x01\x02\x01 not http\r\n\r\n",
-          "GET\r\n\r\n",
-          "GET / HTTP/9.9\r\n\r\n",
-          "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
-          "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\nab",
-          "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-          "POST / HTTP/1.1\r\nContent-Length: 2\r\n"
-          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"})
+    const std::string two_lengths = "POST / HTTP/1.1\r\nContent-Length: 2\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n"
+                                    "0\r\n\r\n";
+    for (const std::string& broken :
+         {two_lengths,
+          std::string("\x16\x03\x01\x02\x01 not http\r\n\r\n"),
+          std::string("GET\r\n\r\n"),
+          std::string("GET / HTTP/9.9\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\nab"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+                      "Content-Length: 2\r\n\r\nab"),
+          std::string("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                      "\r\nzz\r\n")})
     {
         check_error(send_and_wait(broken), "400", result_code::bad_request);
     }
@@ -265,6 +277,18 @@
     check_error(received, "408", result_code::bad_request);
 }
 
+// Guards against a client that never reads its reply and holds the connection
+// and the planned stop.
+TEST(http_server, ends_clients_that_do_not_read)
+{
+    const auto peer = raw_connection::to(server->port());
+    peer.send("GET /large HTTP/1.1\r\n\r\n");
+    CHECK(net.run_until([&] { return handled.size() == 1; }));
+    bool stopped = false;
+    server->stop([&] { stopped = true; });
+    CHECK(net.run_until([&] { return stopped; }));
+}
+
 // Guards against replies that overtake each other on one connection.
 TEST(http_server, serves_pipelined_requests_in_order)
 {
--- a/tests/standin/faults.cpp
+++ b/tests/standin/faults.cpp
@@ -54,9 +54,12 @@
 }
 
 // Fault that keeps the request from being handled; true if it was met.
-bool meets_outage(faults& state, const respond_function& respond)
+bool meets_outage(faults& state,
+                  const http_request& request,
+                  const respond_function& respond)
 {
-    if (take(state.silent_requests))
+    if (state.silent_peers.contains(request.peer) ||
+        take(state.silent_requests))
     {
         return true;
     }
@@ -82,7 +85,7 @@
                         http_request request,
                         respond_function respond)
 {
-    if (meets_outage(state, respond))
+    if (meets_outage(state, request, respond))
     {
         return;
     }
@@ -122,8 +125,10 @@
 
 bool read_faults(const Json::Value& json, faults& target, failure& why)
 {
+    bool silence_open = false;
     json_reader reader(json, "", why);
-    reader.read("latency_ms", target.latency)
+    reader.read("silence_open", silence_open)
+        .read("latency_ms", target.latency)
         .read("lose_answers", target.lose_answers)
         .read("hold_answers", target.hold_answers)
         .read("silent_requests", target.silent_requests)
@@ -133,6 +138,10 @@
         .read_name("outage",
                    [&target](std::string_view name)
                    { return read_outage(name, target.outage); });
+    if (silence_open)
+    {
+        target.silent_peers = target.seen_peers;
+    }
     return reader.good();
 }
 
@@ -143,6 +152,8 @@
     json["lose_answers"] = state.lose_answers;
     json["hold_answers"] = state.hold_answers;
     json["silent_requests"] = state.silent_requests;
+    json["silent_connections"] =
+        static_cast<Json::UInt64>(state.silent_peers.size());
     json["prefix"] = state.prefix;
     json["fail_tasks"] = state.fail_tasks;
     json["leaving"] = state.leaving;
@@ -168,6 +179,7 @@
             changed();
             return;
         }
+        state.seen_peers.insert(request.peer);
         if (!request.target.starts_with(state.prefix))
         {
             handler(std::move(request), std::move(respond));
--- a/tests/standin/faults.hpp
+++ b/tests/standin/faults.hpp
@@ -8,6 +8,7 @@
 
 #include <json/value.h>
 
+#include <set>
 #include <string>
 
 namespace poplarramp::standin
@@ -36,6 +37,11 @@
     // Number of requests that have no effect and are never answered, as on a
     // connection that went silent.
     int silent_requests = 0;
+    // Connections that no request is answered on any more, without effect.
+    // "silence_open" in a document adds all that have been used so far; new
+    // connections work.
+    std::set<std::string> silent_peers;
+    std::set<std::string> seen_peers;
     // Only targets with this prefix are concerned.
     std::string prefix;
     // Backend server only.
--- a/tests/standin/task_book.cpp
+++ b/tests/standin/task_book.cpp
@@ -273,8 +273,13 @@
     if (known.status.state == task_state::running && checkpoint &&
         owner.can_checkpoint)
     {
-        known.status.checkpoint = true;
-        plan_end(known, monotonic_now() + owner.checkpoint_time);
+        const auto saved = monotonic_now() + owner.checkpoint_time;
+        // A task that ends before its checkpoint is saved just ends.
+        if (known.ends > saved)
+        {
+            known.status.checkpoint = true;
+            plan_end(known, saved);
+        }
         return {{}, task_state::running};
     }
     if (known.status.state == task_state::running && !owner.can_stop)
