--- /dev/null
+++ b/measure/main.cpp
@@ -0,0 +1,46 @@
+// Runs named measurements and prints one JSON line per figure.
+#include "policy_figures.hpp"
+#include "process_figures.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <string>
+
+namespace
+{
+
+// Arguments: --processes FILE measures the processes listed in the file, else
+// the policy is measured; further arguments select measurements by name.
+int run(const std::vector<std::string>& arguments)
+{
+    poplarramp::process_set processes;
+    auto names = arguments;
+    const bool on_processes =
+        names.size() >= 2 && names.front() == "--processes";
+    if (on_processes)
+    {
+        processes = poplarramp::read_process_set(names[1]);
+        names.erase(names.begin(), names.begin() + 2);
+    }
+    const auto known = on_processes
+                           ? poplarramp::process_measurements(processes)
+                           : poplarramp::policy_measurements();
+    for (const auto& item : known)
+    {
+        const bool wanted =
+            names.empty() ||
+            std::find(names.begin(), names.end(), item.name) != names.end();
+        if (wanted)
+        {
+            item.run(std::cout);
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    return run({argv + 1, argv + argc});
+}
--- /dev/null
+++ b/measure/policy_figures.cpp
@@ -0,0 +1,195 @@
+#include "policy_figures.hpp"
+
+#include "baseline.hpp"
+#include "replay.hpp"
+#include "trace.hpp"
+
+#include <algorithm>
+#include <ostream>
+#include <string>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+constexpr std::uint64_t seed = 20261204;
+
+// One availability zone of the target: 400 servers, 53 with accelerators.
+constexpr int target_accelerated = 53;
+constexpr int target_plain = 347;
+constexpr int target_running = 2900;
+
+struct both
+{
+    replay_result ours;
+    replay_result baseline;
+};
+
+both run_both(const world& place,
+              const std::vector<trace_job>& jobs,
+              const replay_options& options = {})
+{
+    return {replay<scheduler>(place, jobs).run(options),
+            replay<first_fit_queue>(place, jobs).run(options)};
+}
+
+// Waits in ms until the first start; a job that never started counts as one
+// that waited to the end of the trace.
+std::vector<double> start_waits(const std::vector<trace_job>& jobs,
+                                const replay_result& result,
+                                urgency urgency_class)
+{
+    std::vector<double> waits;
+    for (std::size_t i = 0; i < jobs.size(); ++i)
+    {
+        if (jobs[i].item.urgency_class != urgency_class)
+        {
+            continue;
+        }
+        const auto& seen = result.jobs[i];
+        const auto wait = seen.first_start == no_deadline
+                              ? milliseconds(86'400'000)
+                              : seen.first_start - jobs[i].arrival;
+        waits.push_back(static_cast<double>(wait.count()));
+    }
+    return waits;
+}
+
+// Completion times in ms of the jobs that ended.
+std::vector<double> completion_times(const std::vector<trace_job>& jobs,
+                                     const replay_result& result,
+                                     urgency urgency_class)
+{
+    std::vector<double> times;
+    for (std::size_t i = 0; i < jobs.size(); ++i)
+    {
+        const auto& seen = result.jobs[i];
+        if (jobs[i].item.urgency_class == urgency_class &&
+            seen.ended != no_deadline)
+        {
+            times.push_back(
+                static_cast<double>((seen.ended - jobs[i].arrival).count()));
+        }
+    }
+    return times;
+}
+
+double deadline_share(const std::vector<trace_job>& jobs,
+                      const replay_result& result)
+{
+    double met = 0;
+    for (std::size_t i = 0; i < jobs.size(); ++i)
+    {
+        met += result.jobs[i].ended <= jobs[i].item.request.deadline ? 1 : 0;
+    }
+    return met / static_cast<double>(jobs.size());
+}
+
+void decision_time(std::ostream& out,
+                   const std::string& suffix,
+                   int accelerated,
+                   int plain,
+                   int running)
+{
+    const world place = make_zone(accelerated, plain);
+    constexpr milliseconds length(300'000);
+    auto jobs = make_slot_load(place, running, length, seed);
+    const auto mixed = make_mixed_load(place, 0.8, length, seed);
+    jobs.insert(jobs.end(), mixed.begin(), mixed.end());
+    const auto results = run_both(place, jobs);
+    print(out,
+          {"placement.decision_p99." + suffix,
+           quantile(results.ours.decide_us, 0.99) / 1000,
+           "ms",
+           quantile(results.baseline.decide_us, 0.99) / 1000,
+           seed});
+}
+
+void decision_times(std::ostream& out)
+{
+    decision_time(out, "100_servers", 13, 87, 725);
+    decision_time(out, "200_servers", 27, 173, 1450);
+    decision_time(
+        out, "400_servers", target_accelerated, target_plain, target_running);
+    decision_time(out, "5900_servers", 800, 5100, 43'000);
+}
+
+void urgent_start(std::ostream& out)
+{
+    const world place = make_zone(target_accelerated, target_plain);
+    const auto jobs = make_urgent_burst(
+        place, milliseconds(600'000), milliseconds(60'000), seed);
+    const auto results = run_both(place, jobs);
+    const auto ours = start_waits(jobs, results.ours, urgency::urgent);
+    const auto theirs = start_waits(jobs, results.baseline, urgency::urgent);
+    print(out,
+          {"urgent.start_p99",
+           quantile(ours, 0.99),
+           "ms",
+           quantile(theirs, 0.99),
+           seed});
+    print(out,
+          {"urgent.start_max",
+           quantile(ours, 1),
+           "ms",
+           quantile(theirs, 1),
+           seed});
+    for (const auto& [name, urgency_class] :
+         {std::pair("urgent.completion_p99", urgency::urgent),
+          std::pair("patient.completion_p50", urgency::patient)})
+    {
+        const double share = urgency_class == urgency::urgent ? 0.99 : 0.5;
+        print(out,
+              {name,
+               quantile(completion_times(jobs, results.ours, urgency_class),
+                        share),
+               "ms",
+               quantile(completion_times(jobs, results.baseline, urgency_class),
+                        share),
+               seed});
+    }
+}
+
+void mixed_load(std::ostream& out)
+{
+    const world place = make_zone(target_accelerated, 0);
+    for (const int use : {60, 80, 95})
+    {
+        const auto jobs =
+            make_mixed_load(place, use / 100.0, milliseconds(3'600'000), seed);
+        const replay_options options{time_point(milliseconds(300'000)), 8};
+        const auto results = run_both(place, jobs, options);
+        const std::string suffix = "." + std::to_string(use) + "_percent";
+        print(out,
+              {"fragmentation.largest_shape_open" + suffix,
+               results.ours.shape_open_share,
+               "share",
+               results.baseline.shape_open_share,
+               seed});
+        print(out,
+              {"deadline.met" + suffix,
+               deadline_share(jobs, results.ours),
+               "share",
+               deadline_share(jobs, results.baseline),
+               seed});
+        print(out,
+              {"load.mean_use" + suffix,
+               results.ours.mean_use,
+               "share",
+               results.baseline.mean_use,
+               seed});
+    }
+}
+
+} // namespace
+
+std::vector<measurement> policy_measurements()
+{
+    return {{"placement.decision", decision_times},
+            {"urgent", urgent_start},
+            {"mixed", mixed_load}};
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/measure/sync_caller.hpp
@@ -0,0 +1,36 @@
+// Sends HTTP requests one after another over kept connections.
+#ifndef POPLARRAMP_MEASURE_SYNC_CALLER_HPP
+#define POPLARRAMP_MEASURE_SYNC_CALLER_HPP
+
+#include "base/time.hpp"
+#include "http/message.hpp"
+
+#include <json/value.h>
+
+#include <memory>
+#include <string>
+
+namespace poplarramp
+{
+
+// Not thread safe; each thread has its own.
+class sync_caller
+{
+public:
+    sync_caller();
+    ~sync_caller();
+    sync_caller(const sync_caller&) = delete;
+    sync_caller& operator=(const sync_caller&) = delete;
+
+    // Body of the reply; null if there was none within `limit`.
+    Json::Value
+    call(const std::string& address, http_request request, milliseconds limit);
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace poplarramp
+
+#endif
--- /dev/null
+++ b/measure/trace.cpp
@@ -0,0 +1,231 @@
+#include "trace.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <random>
+#include <string>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+constexpr int servers_per_rack = 8;
+constexpr int accelerators_per_server = 8;
+constexpr std::array<const char*, 4> holders{
+    "bead-east", "bead-west", "tiles-nabeul", "tiles-sfax"};
+constexpr const char* lender = "lender";
+
+job_kind make_kind(const char* name, urgency urgency_class, bool checkpoint)
+{
+    job_kind kind;
+    kind.name = name;
+    kind.urgency_class = urgency_class;
+    kind.can_checkpoint = checkpoint;
+    kind.expected_run = milliseconds(1000);
+    kind.checkpoint_time = milliseconds(500);
+    return kind;
+}
+
+void add_servers(world& place, int count, int accelerators, const char* prefix)
+{
+    for (int i = 0; i < count; ++i)
+    {
+        const std::string rack =
+            std::string(prefix) + "rack" + std::to_string(i / servers_per_rack);
+        place.servers.push_back(
+            {prefix + std::to_string(i), rack, accelerators, 8});
+        auto& racks = place.plan.zones.front().racks;
+        if (racks.empty() || racks.back().name != rack)
+        {
+            racks.push_back({rack, 0, accelerators});
+        }
+        ++racks.back().servers;
+    }
+}
+
+// Splits 60% of the accelerators over the holders in blocks of 8, 4, 2 and 1.
+void add_guarantees(world& place)
+{
+    const int each =
+        place.accelerators() * 6 / 10 / static_cast<int>(holders.size());
+    for (const char* holder : holders)
+    {
+        const int eights = std::max(1, each / 8 * 3 / 4);
+        int rest = each - eights * 8;
+        place.plan.guarantees.push_back({holder, "zone", 8, eights});
+        for (const int shape : {4, 2, 1})
+        {
+            const int count = std::max(0, rest / 2 / shape);
+            rest -= count * shape;
+            if (count > 0)
+            {
+                place.plan.guarantees.push_back({holder, "zone", shape, count});
+            }
+        }
+    }
+}
+
+trace_job make_job(const std::string& customer,
+                   const job_kind& kind,
+                   int number,
+                   int accelerators,
+                   time_point arrival,
+                   milliseconds run)
+{
+    trace_job made;
+    made.item.request.customer = customer;
+    made.item.request.key = kind.name + std::to_string(number);
+    made.item.request.kind = kind.name;
+    made.item.request.accelerators = accelerators;
+    made.item.urgency_class = kind.urgency_class;
+    made.item.can_checkpoint = kind.can_checkpoint;
+    made.item.expected_run = run;
+    made.item.checkpoint_time = kind.checkpoint_time;
+    made.item.zone = "zone";
+    made.item.accepted = arrival;
+    made.arrival = arrival;
+    made.true_run = run;
+    return made;
+}
+
+milliseconds exponential(std::mt19937_64& random, double mean_ms)
+{
+    std::exponential_distribution<double> next(1.0 / mean_ms);
+    return milliseconds(std::max<std::int64_t>(1, std::llround(next(random))));
+}
+
+} // namespace
+
+int world::accelerators() const
+{
+    int sum = 0;
+    for (const auto& server : servers)
+    {
+        sum += server.accelerators;
+    }
+    return sum;
+}
+
+world make_zone(int accelerated, int plain)
+{
+    world place;
+    place.plan.zones.push_back({"zone", "region", {}});
+    add_servers(place, accelerated, accelerators_per_server, "a");
+    add_servers(place, plain, 0, "p");
+    for (const char* holder : holders)
+    {
+        place.plan.customers.push_back({holder, 0, 1'000'000});
+    }
+    place.plan.customers.push_back({lender, 0, 1'000'000});
+    place.plan.kinds = {make_kind("check", urgency::urgent, false),
+                        make_kind("batch", urgency::patient, true),
+                        make_kind("slot", urgency::patient, false)};
+    add_guarantees(place);
+    return place;
+}
+
+std::vector<trace_job> make_urgent_burst(const world& place,
+                                         milliseconds quiet,
+                                         milliseconds burst,
+                                         std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::vector<trace_job> jobs;
+    const auto& batch = place.plan.kinds[1];
+    const auto& check = place.plan.kinds[0];
+    int number = 0;
+    // Twice what fits, so that every accelerator is lent out throughout.
+    for (int taken = 0; taken < 2 * place.accelerators();)
+    {
+        const int shape = 1 << (random() % 4);
+        const auto run = milliseconds(600'000 + random() % 3'000'000);
+        jobs.push_back(
+            make_job(lender, batch, number++, shape, time_point{}, run));
+        taken += shape;
+    }
+    // In the quiet the checks use 0.5% of the accelerators.
+    const double quiet_gap_ms = 1000.0 / (0.005 * place.accelerators());
+    const time_point burst_from = time_point{} + quiet;
+    const time_point end = burst_from + burst;
+    for (time_point at{milliseconds(1000)}; at < end;)
+    {
+        const double gap = at < burst_from ? quiet_gap_ms : quiet_gap_ms / 50;
+        at += exponential(random, gap);
+        const auto run = milliseconds(500 + random() % 1000);
+        const char* who = holders.at(random() % holders.size());
+        jobs.push_back(make_job(who, check, number++, 1, at, run));
+    }
+    return jobs;
+}
+
+std::vector<trace_job> make_mixed_load(const world& place,
+                                       double use,
+                                       milliseconds length,
+                                       std::uint64_t seed)
+{
+    // Mean run time 60 s; mean shape of 1, 2, 4 and 8 with these odds.
+    constexpr double mean_run_ms = 60'000;
+    constexpr std::array<int, 10> shapes{1, 1, 1, 1, 2, 2, 2, 4, 4, 8};
+    constexpr double mean_shape = 2.6;
+    std::mt19937_64 random(seed);
+    std::lognormal_distribution<double> error(0.0, 1.1);
+    std::vector<trace_job> jobs;
+    const auto& batch = place.plan.kinds[1];
+    const double gap = mean_run_ms * mean_shape / (use * place.accelerators());
+    int number = 0;
+    for (time_point at{}; at < time_point{} + length;)
+    {
+        at += exponential(random, gap);
+        const std::size_t who = random() % (holders.size() + 1);
+        const std::string name =
+            who < holders.size() ? holders.at(who) : lender;
+        const auto run = exponential(random, mean_run_ms);
+        auto next = make_job(name,
+                             batch,
+                             number++,
+                             shapes.at(random() % shapes.size()),
+                             at,
+                             run);
+        next.item.expected_run = milliseconds(std::max<std::int64_t>(
+            1, std::llround(static_cast<double>(run.count()) * error(random))));
+        // Due after 2 to 6 times the true run time and at least a minute.
+        next.item.request.deadline =
+            at + run * (2 + random() % 5) + milliseconds(60'000);
+        jobs.push_back(next);
+    }
+    return jobs;
+}
+
+std::vector<trace_job> make_slot_load(const world& place,
+                                      int running,
+                                      milliseconds length,
+                                      std::uint64_t seed)
+{
+    constexpr double mean_run_ms = 600'000;
+    std::mt19937_64 random(seed);
+    std::vector<trace_job> jobs;
+    const auto& slot = place.plan.kinds[2];
+    int number = 0;
+    const double gap = mean_run_ms / running;
+    for (int i = 0; i < running; ++i)
+    {
+        jobs.push_back(make_job(lender,
+                                slot,
+                                number++,
+                                0,
+                                time_point{},
+                                exponential(random, mean_run_ms)));
+    }
+    for (time_point at{}; at < time_point{} + length;)
+    {
+        at += exponential(random, gap);
+        jobs.push_back(make_job(
+            lender, slot, number++, 0, at, exponential(random, mean_run_ms)));
+    }
+    return jobs;
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/measure/trace.hpp
@@ -0,0 +1,61 @@
+// Worlds and seeded traces of jobs for the measurements.
+#ifndef POPLARRAMP_MEASURE_TRACE_HPP
+#define POPLARRAMP_MEASURE_TRACE_HPP
+
+#include "model/job.hpp"
+#include "model/sheet.hpp"
+#include "policy/scheduler.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace poplarramp
+{
+
+struct world
+{
+    sheet plan;
+    std::vector<server_info> servers;
+
+    int accelerators() const;
+};
+
+struct trace_job
+{
+    job item;
+    time_point arrival;
+    // What the job really takes; the declared time is in `item`.
+    milliseconds true_run{0};
+};
+
+// One availability zone with `accelerated` servers of 8 accelerators and
+// `plain` servers without, 8 servers to a rack. Four customers hold guarantees
+// of shapes 1 to 8 on 60% of the accelerators; "lender" holds none.
+world make_zone(int accelerated, int plain);
+
+// Patient checkpointable jobs of the customer without a guarantee that fill
+// every accelerator, a quiet rate of urgent shape checks, then a burst of 50
+// times that rate for `burst`.
+std::vector<trace_job> make_urgent_burst(const world& place,
+                                         milliseconds quiet,
+                                         milliseconds burst,
+                                         std::uint64_t seed);
+
+// Jobs of shapes 1, 2, 4 and 8 of all customers that keep about `use` of the
+// accelerators busy for `length`. Declared run times are wrong by a factor
+// around 3 in both directions.
+std::vector<trace_job> make_mixed_load(const world& place,
+                                       double use,
+                                       milliseconds length,
+                                       std::uint64_t seed);
+
+// Small jobs that fill the slots of servers without accelerators, to reach the
+// number of running tasks of the target.
+std::vector<trace_job> make_slot_load(const world& place,
+                                      int running,
+                                      milliseconds length,
+                                      std::uint64_t seed);
+
+} // namespace poplarramp
+
+#endif
