Skip jobs that cannot be placed without trying them

Cause: each decision tried about 100 lanes in vain, each with a search for victims on every server.

Ruled out: one sorted list of all lanes, because each placement changes the share of a customer and with it the order of its lanes.

A filter per round knows the largest free and preemptible capacity and the needs that have failed already. Lanes are grouped by class and customer.

--- a/src/policy/cluster.cpp
+++ b/src/policy/cluster.cpp
@@ -24,6 +24,17 @@
 
 } // namespace
 
+bool loses_job(const placed_task& task)
+{
+    return !task.idempotent && !task.can_checkpoint;
+}
+
+bool preemptible_by_urgent(const placed_task& task)
+{
+    return !task.pinned && !task.in_guarantee && !task.urgent &&
+           !task.stopping && !loses_job(task);
+}
+
 amount server_state::free() const
 {
     return {left_now(info.accelerators,
@@ -170,7 +181,10 @@
 
 void cluster::set_in_guarantee(std::int64_t number, bool in_guarantee)
 {
-    tasks_.at(number).in_guarantee = in_guarantee;
+    auto& task = tasks_.at(number);
+    use(task, -1);
+    task.in_guarantee = in_guarantee;
+    use(task, 1);
 }
 
 void cluster::claim(std::span<const part> parts, int sign)
@@ -226,6 +240,10 @@
                {
                    const int accelerators = sign * share.accelerators;
                    change(found.used, accelerators, sign);
+                   if (preemptible_by_urgent(task))
+                   {
+                       change(found.preemptible, accelerators, sign);
+                   }
                    if (task.stopping)
                    {
                        change(found.stopping, accelerators, sign);
--- a/src/policy/cluster.hpp
+++ b/src/policy/cluster.hpp
@@ -49,6 +49,13 @@
     time_point expected_end{};
 };
 
+// True if stopping the task would lose its job.
+bool loses_job(const placed_task& task);
+
+// True if an urgent job may preempt the task: borrowed, patient, can be stopped
+// and not stopping, and its job can run again.
+bool preemptible_by_urgent(const placed_task& task);
+
 // Accelerators and slots of one server.
 struct amount
 {
@@ -71,6 +78,8 @@
     amount used;
     // Share of `used` whose tasks are stopping.
     amount stopping;
+    // Share of `used` that urgent jobs may preempt.
+    amount preemptible;
     // Promised to jobs that wait for tasks to stop.
     amount claimed;
     // Not available to other guarantees: occupied blocks in full size and
--- a/src/policy/decision_round.cpp
+++ b/src/policy/decision_round.cpp
@@ -27,8 +27,15 @@
     prepare_blocks();
     settle_claims();
     update_reservations();
+    const bool feasible = zone_.book.refresh(zone_.servers, zone_.limits());
     try_holders();
     try_lanes();
+    if (!feasible && zone_.book.refresh(zone_.servers, zone_.limits()))
+    {
+        // Pinned jobs were held back while the guarantees did not fit.
+        ++zone_.version;
+        try_lanes();
+    }
     return std::move(made_);
 }
 
@@ -193,6 +200,15 @@
     zone_.version += same ? 0 : 1;
 }
 
+void decision_round::renew_filter()
+{
+    if (!filter_ || filtered_at_ != zone_.version)
+    {
+        filter_.emplace(zone_);
+        filtered_at_ = zone_.version;
+    }
+}
+
 // Holders of reservations are not necessarily first in their lane.
 void decision_round::try_holders()
 {
@@ -201,6 +217,7 @@
         return;
     }
     zone_.holders_tried_at = zone_.version;
+    renew_filter();
     for (const auto& item : zone_.reservations)
     {
         const auto found = zone_.jobs.find(item.job);
@@ -212,115 +229,197 @@
     }
 }
 
-std::vector<decision_round::open_lane> decision_round::open_lanes()
+// Lanes of one class that may have a job to place, by customer.
+decision_round::class_lanes decision_round::open_lanes(queue_class order)
 {
-    std::vector<open_lane> found;
-    for (auto& [key, waiting] : zone_.queue.lanes())
+    class_lanes found;
+    auto& lanes = zone_.queue.lanes();
+    lane_key first;
+    first.order = order;
+    customer_lanes* mine = nullptr;
+    const std::string* customer = nullptr;
+    for (auto entry = lanes.lower_bound(first);
+         entry != lanes.end() && entry->first.order == order;
+         ++entry)
     {
-        if (waiting.failed_at != zone_.version)
+        const auto& key = entry->first;
+        if (entry->second.failed_at == zone_.version)
         {
-            found.push_back({&key, &waiting, zone_.share_of(key.customer)});
+            continue;
         }
+        if (customer == nullptr || *customer != key.customer)
+        {
+            customer = &key.customer;
+            mine = &found[key.customer];
+            mine->share = zone_.share_of(key.customer);
+            mine->largest_held = zone_.book.largest_held(key.customer);
+        }
+        if (filter_->hopeless(key, mine->largest_held))
+        {
+            block(entry->second, wait_reason::capacity);
+            continue;
+        }
+        mine->lanes.emplace(*entry->second.jobs.begin(), &*entry);
     }
+    std::erase_if(found,
+                  [](const auto& item) { return item.second.lanes.empty(); });
     return found;
 }
 
+void decision_round::block(lane& waiting, wait_reason reason)
+{
+    waiting.failed_at = zone_.version;
+    waiting.reason = reason;
+}
+
 // Tries the lanes in order of class, share of the guarantee in use, deadline
 // and arrival, until each is empty or its first job cannot be placed.
 void decision_round::try_lanes()
 {
-    auto lanes = open_lanes();
-    const auto before = [](const open_lane& a, const open_lane& b)
+    while (!try_class(queue_class::urgent) ||
+           !try_class(queue_class::near_deadline) ||
+           !try_class(queue_class::patient))
     {
-        if (a.key->order != b.key->order)
-        {
-            return a.key->order < b.key->order;
-        }
-        if (smaller_share(a.share, b.share) || smaller_share(b.share, a.share))
+    }
+}
+
+// False if claims were dropped, whose jobs are back in the lanes.
+bool decision_round::try_class(queue_class order)
+{
+    renew_filter();
+    const auto version = zone_.version;
+    auto customers = open_lanes(order);
+    const auto before = [](const auto& a, const auto& b)
+    {
+        const auto& left = a.second;
+        const auto& right = b.second;
+        if (smaller_share(left.share, right.share) ||
+            smaller_share(right.share, left.share))
         {
-            return smaller_share(a.share, b.share);
+            return smaller_share(left.share, right.share);
         }
-        return *a.waiting->jobs.begin() < *b.waiting->jobs.begin();
+        return left.lanes.begin()->first < right.lanes.begin()->first;
     };
-    while (!lanes.empty())
-    {
-        const auto next = std::min_element(lanes.begin(), lanes.end(), before);
-        const auto number = std::get<2>(*next->waiting->jobs.begin());
-        const auto customer = next->key->customer;
-        const bool last = next->waiting->jobs.size() == 1;
-        const auto version = zone_.version;
-        const bool placed = try_job(zone_.jobs.at(number));
-        if (zone_.version != version)
-        {
-            // Claims were dropped: their jobs are back in the lanes.
-            if (!placed)
-            {
-                next->waiting->failed_at = zone_.version;
-            }
-            lanes = open_lanes();
-            continue;
-        }
-        if (!placed)
+    while (!customers.empty())
+    {
+        const auto next =
+            std::min_element(customers.begin(), customers.end(), before);
+        try_first_lane(next->second);
+        if (next->second.lanes.empty())
         {
-            next->waiting->failed_at = zone_.version;
+            customers.erase(next);
         }
-        if (!placed || last)
+        if (zone_.version != version)
         {
-            *next = lanes.back();
-            lanes.pop_back();
+            return false;
         }
-        for (auto& other : lanes)
+    }
+    return true;
+}
+
+void decision_round::try_first_lane(customer_lanes& mine)
+{
+    const auto [first, entry] = *mine.lanes.begin();
+    mine.lanes.erase(mine.lanes.begin());
+    const auto customer = entry->first.customer;
+    const bool last = entry->second.jobs.size() == 1;
+    const auto refused = try_job(zone_.jobs.at(std::get<2>(first)));
+    if (refused)
+    {
+        block(entry->second, *refused);
+        drop_hopeless(mine);
+        return;
+    }
+    mine.share = zone_.share_of(customer);
+    mine.largest_held = zone_.book.largest_held(customer);
+    if (!last)
+    {
+        mine.lanes.emplace(*entry->second.jobs.begin(), entry);
+    }
+}
+
+// Drops the lanes that would be next and that a failure of this round rules
+// out. This is cheaper than to choose and try each.
+void decision_round::drop_hopeless(customer_lanes& mine)
+{
+    while (!mine.lanes.empty())
+    {
+        const auto [first, entry] = *mine.lanes.begin();
+        const auto& next = zone_.jobs.at(std::get<2>(first));
+        if (!ruled_out(zone_.need_of(next, now_), mine.largest_held))
         {
-            if (placed && other.key->customer == customer)
-            {
-                other.share = zone_.share_of(customer);
-            }
+            return;
         }
+        block(entry->second, wait_reason::capacity);
+        mine.lanes.erase(mine.lanes.begin());
     }
 }
 
-bool decision_round::try_job(job_entry& entry)
+bool decision_round::ruled_out(const job_need& need, int largest_held) const
+{
+    const bool entitled =
+        need.accelerators > 0 && need.accelerators <= largest_held;
+    const bool holder = zone_.long_waiting.count(need.number) > 0;
+    return !entitled && !holder && filter_->failed_before(need);
+}
+
+// Why the job cannot be placed; nothing if it was.
+std::optional<wait_reason> decision_round::try_job(job_entry& entry)
 {
     if (zone_.over_quota(entry))
     {
-        entry.waits_for = wait_reason::quota;
-        return false;
+        return wait_reason::quota;
     }
     auto plan = plan_for(entry);
     if (!plan)
     {
-        entry.waits_for = wait_reason::capacity;
-        return false;
+        return wait_reason::capacity;
     }
     carry_out(entry, std::move(*plan));
-    return true;
+    return std::nullopt;
 }
 
 std::optional<job_plan> decision_round::plan_for(const job_entry& entry)
 {
     const auto need = zone_.need_of(entry, now_);
+    const int largest_held = zone_.book.largest_held(need.customer);
+    if (ruled_out(need, largest_held))
+    {
+        return std::nullopt;
+    }
     planner search(zone_.servers, zone_.book, zone_.limits(), now_);
     if (auto plan = search.probe(need))
     {
         return plan;
     }
+    if (need.accelerators > 0 && need.accelerators <= largest_held)
+    {
+        if (auto plan = plan_in_guarantee(need, search))
+        {
+            return plan;
+        }
+    }
+    auto plan = search.borrowed(need);
+    if (!plan)
+    {
+        filter_->note_failure(need);
+    }
+    return plan;
+}
+
+std::optional<job_plan> decision_round::plan_in_guarantee(const job_need& need,
+                                                          planner& search)
+{
     if (auto plan = search.in_guarantee(need))
     {
         return plan;
     }
-    const bool entitled =
-        need.accelerators > 0 &&
-        zone_.book.could_hold(need.customer, need.accelerators);
-    if (entitled && drop_borrowed_claims())
+    if (!drop_borrowed_claims())
     {
-        planner again(zone_.servers, zone_.book, zone_.limits(), now_);
-        if (auto plan = again.in_guarantee(need))
-        {
-            return plan;
-        }
-        return again.borrowed(need);
+        return std::nullopt;
     }
-    return search.borrowed(need);
+    planner again(zone_.servers, zone_.book, zone_.limits(), now_);
+    return again.in_guarantee(need);
 }
 
 // Capacity that urgent jobs have claimed must not delay a guarantee. Once a
--- a/src/policy/decision_round.hpp
+++ b/src/policy/decision_round.hpp
@@ -2,9 +2,14 @@
 #ifndef POPLARRAMP_POLICY_DECISION_ROUND_HPP
 #define POPLARRAMP_POLICY_DECISION_ROUND_HPP
 
+#include "policy/attempt_filter.hpp"
 #include "policy/scheduler.hpp"
 #include "policy/zone_state.hpp"
 
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace poplarramp::detail
@@ -21,13 +26,18 @@
     std::vector<decision> run();
 
 private:
-    struct open_lane
+    using lane_entry = std::pair<const lane_key, lane>;
+
+    // Lanes of one customer and class, by their first job.
+    struct customer_lanes
     {
-        const lane_key* key = nullptr;
-        lane* waiting = nullptr;
         customer_share share;
+        int largest_held = 0;
+        std::map<job_order, lane_entry*> lanes;
     };
 
+    using class_lanes = std::map<std::string, customer_lanes>;
+
     void ready_probes();
     void shed();
     void raise();
@@ -35,11 +45,19 @@
     void settle_claims();
     void update_reservations();
     std::vector<reservation> choose_reservations();
+    void renew_filter();
     void try_holders();
     void try_lanes();
-    std::vector<open_lane> open_lanes();
-    bool try_job(job_entry& entry);
+    bool try_class(queue_class order);
+    class_lanes open_lanes(queue_class order);
+    void try_first_lane(customer_lanes& mine);
+    void drop_hopeless(customer_lanes& mine);
+    bool ruled_out(const job_need& need, int largest_held) const;
+    void block(lane& waiting, wait_reason reason);
+    std::optional<wait_reason> try_job(job_entry& entry);
     std::optional<job_plan> plan_for(const job_entry& entry);
+    std::optional<job_plan> plan_in_guarantee(const job_need& need,
+                                              planner& search);
     bool drop_borrowed_claims();
     bool fits_now(const part_list& parts) const;
     void carry_out(job_entry& entry, job_plan plan);
@@ -50,6 +68,8 @@
     zone_state& zone_;
     time_point now_;
     std::vector<decision> made_;
+    std::optional<attempt_filter> filter_;
+    std::uint64_t filtered_at_ = 0;
     bool claims_dropped_ = false;
 };
 
--- a/src/policy/estimate.cpp
+++ b/src/policy/estimate.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 namespace poplarramp
 {
@@ -37,6 +39,10 @@
     weight_histogram counts = bh::make_histogram_with(
         weight_storage(), log_axis(bins, shortest_ms, longest_ms));
     double weight = 0;
+    // Quantiles asked for since the last run time was counted.
+    std::vector<std::pair<double, milliseconds>> known;
+
+    milliseconds quantile(double share) const;
 };
 
 run_times::run_times() = default;
@@ -46,7 +52,7 @@
                     const std::string& kind,
                     milliseconds run)
 {
-    auto& entry = learned_[{customer, kind}];
+    auto& entry = learned_[customer][kind];
     if (entry == nullptr)
     {
         entry = std::make_unique<distribution>();
@@ -55,33 +61,51 @@
         static_cast<double>(run.count()), shortest_ms, longest_ms * 0.999);
     entry->counts *= kept_weight;
     entry->counts(value);
+    entry->known.clear();
     entry->weight = entry->weight * kept_weight + 1;
 }
 
+milliseconds run_times::distribution::quantile(double share) const
+{
+    const auto& axis = counts.axis();
+    double left = share * weight;
+    for (int i = 0; i < axis.size(); ++i)
+    {
+        const double here = counts.at(i);
+        if (here >= left && here > 0)
+        {
+            return milliseconds(std::lround(axis.value(i + left / here)));
+        }
+        left -= here;
+    }
+    return milliseconds(std::lround(longest_ms));
+}
+
 milliseconds run_times::estimate(const std::string& customer,
                                  const std::string& kind,
                                  double quantile,
                                  milliseconds declared) const
 {
-    const auto found = learned_.find({customer, kind});
-    if (found == learned_.end() || found->second->weight < least_weight)
+    const auto kinds = learned_.find(customer);
+    if (kinds == learned_.end())
     {
         return declared;
     }
-    const auto& counts = found->second->counts;
-    const auto& axis = counts.axis();
-    double left = quantile * found->second->weight;
-    for (int i = 0; i < axis.size(); ++i)
+    const auto found = kinds->second.find(kind);
+    if (found == kinds->second.end() || found->second->weight < least_weight)
     {
-        const double here = counts.at(i);
-        if (here >= left && here > 0)
+        return declared;
+    }
+    auto& known = found->second->known;
+    for (const auto& [share, value] : known)
+    {
+        if (share == quantile)
         {
-            const double value = axis.value(i + left / here);
-            return milliseconds(std::lround(value));
+            return value;
         }
-        left -= here;
     }
-    return milliseconds(std::lround(longest_ms));
+    known.emplace_back(quantile, found->second->quantile(quantile));
+    return known.back().second;
 }
 
 } // namespace poplarramp
--- a/src/policy/estimate.hpp
+++ b/src/policy/estimate.hpp
@@ -4,10 +4,10 @@
 
 #include "base/time.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <utility>
 
 namespace poplarramp
 {
@@ -34,8 +34,10 @@
 
 private:
     struct distribution;
-    std::map<std::pair<std::string, std::string>, std::unique_ptr<distribution>>
-        learned_;
+    using by_kind =
+        std::map<std::string, std::unique_ptr<distribution>, std::less<>>;
+
+    std::map<std::string, by_kind, std::less<>> learned_;
 };
 
 // Quantiles that decisions use. The short one is for refusing a job, so that
--- a/src/policy/guarantee.cpp
+++ b/src/policy/guarantee.cpp
@@ -211,30 +211,28 @@
     return first != counts_.end() && first->first.first == customer;
 }
 
-bool guarantee_book::could_hold(const std::string& customer,
-                                int accelerators) const
+int guarantee_book::largest_held(const std::string& customer) const
 {
-    for (auto entry = counts_.lower_bound({customer, accelerators});
+    int largest = 0;
+    for (auto entry = counts_.lower_bound({customer, 0});
          entry != counts_.end() && entry->first.first == customer;
          ++entry)
     {
-        if (floating(entry->first) > 0)
-        {
-            return true;
-        }
+        largest = floating(entry->first) > 0 ? entry->first.second : largest;
     }
-    return std::any_of(blocks_.begin(),
-                       blocks_.end(),
-                       [&](const auto& item)
-                       {
-                           int unused = 0;
-                           for (const auto& share : item.second.shares)
-                           {
-                               unused += share.size - share.used;
-                           }
-                           return item.second.owner.first == customer &&
-                                  unused >= accelerators;
-                       });
+    for (const int number : blocks_of(customer))
+    {
+        largest = std::max(largest, blocks_.at(number).unused);
+    }
+    return largest;
+}
+
+const std::set<int>&
+guarantee_book::blocks_of(const std::string& customer) const
+{
+    static const std::set<int> none;
+    const auto found = blocks_of_.find(customer);
+    return found == blocks_of_.end() ? none : found->second;
 }
 
 shape_counts guarantee_book::floating_shapes() const
@@ -473,6 +471,8 @@
         servers.change_firm(share.server, share.accelerators, 1);
     }
     ++occupied_[owner];
+    opened.unused = owner.second;
+    blocks_of_[owner.first].insert(next_block_);
     blocks_.emplace(next_block_, std::move(opened));
     return next_block_++;
 }
@@ -487,6 +487,7 @@
     {
         apply(
             servers, *find_share(target, share.server), share.accelerators, 1);
+        target.unused -= share.accelerators;
     }
     ++target.tasks;
     entered_.emplace(
@@ -507,6 +508,7 @@
               *find_share(owner->second, share.server),
               -share.accelerators,
               -1);
+        owner->second.unused += share.accelerators;
     }
     entered_.erase(found);
     if (--owner->second.tasks > 0)
@@ -522,6 +524,7 @@
         place.parts.push_back({share.server, share.size});
     }
     --occupied_[owner->second.owner];
+    blocks_of_[owner->second.owner.first].erase(owner->first);
     blocks_.erase(owner);
     index_place(place, 1);
     plan_.places.push_back(std::move(place));
@@ -538,12 +541,9 @@
 int guarantee_book::reclaimable(const std::string& customer) const
 {
     int sum = 0;
-    for (const auto& [number, item] : blocks_)
+    for (const int number : blocks_of(customer))
     {
-        for (const auto& share : item.shares)
-        {
-            sum += item.owner.first == customer ? share.size - share.used : 0;
-        }
+        sum += blocks_.at(number).unused;
     }
     // Blocks of one shape are interchangeable; when the packing misses some,
     // customers in order of name have the places.
--- a/src/policy/guarantee.hpp
+++ b/src/policy/guarantee.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -85,6 +86,8 @@
     guarantee_key owner;
     std::vector<block_share> shares;
     int tasks = 0;
+    // Accelerators that no task uses.
+    int unused = 0;
 };
 
 // Not thread safe. Keeps the firm amounts of the cluster for occupied blocks.
@@ -101,9 +104,11 @@
     }
     int floating(const guarantee_key& owner) const;
     bool has_blocks(std::string_view customer) const;
-    // True if a block of the customer floats or has unused capacity that is
-    // large enough.
-    bool could_hold(const std::string& customer, int accelerators) const;
+    // Largest job that a block of the customer may hold: the shape of a
+    // floating one or what an occupied one has unused.
+    int largest_held(const std::string& customer) const;
+    // Numbers of the occupied blocks of a customer.
+    const std::set<int>& blocks_of(const std::string& customer) const;
     const std::map<int, block>& blocks() const
     {
         return blocks_;
@@ -177,6 +182,7 @@
     std::map<guarantee_key, int> counts_;
     std::map<guarantee_key, int> occupied_;
     std::map<int, block> blocks_;
+    std::map<std::string, std::set<int>> blocks_of_;
     std::map<std::int64_t, entered> entered_;
     int next_block_ = 1;
     packing plan_;
--- a/src/policy/planner.cpp
+++ b/src/policy/planner.cpp
@@ -237,12 +237,11 @@
                             const finder& find,
                             std::vector<candidate>& found) const
 {
-    for (const auto& entry : book_.blocks())
+    for (const int number : book_.blocks_of(need.customer))
     {
-        const auto& owner = entry.second.owner;
-        if (owner.first == need.customer && owner.second >= need.accelerators)
+        if (book_.blocks().at(number).unused >= need.accelerators)
         {
-            in_own_block(need, entry.first, find, found);
+            in_own_block(need, number, find, found);
         }
     }
 }
@@ -253,26 +252,20 @@
                            std::vector<candidate>& found) const
 {
     const auto& item = book_.blocks().at(number);
-    int unused = 0;
     std::vector<int> indexes;
     std::map<int, int> left;
     for (const auto& share : item.shares)
     {
         left[share.server] = share.size - share.used;
-        unused += share.size - share.used;
         indexes.push_back(share.server);
     }
-    if (unused < need.accelerators)
-    {
-        return;
-    }
     const auto add = [&](std::optional<victim_plan> place)
     {
         if (place)
         {
             candidate next;
             next.cost = place->cost;
-            next.spare = unused - need.accelerators;
+            next.spare = item.unused - need.accelerators;
             next.server = place->parts.front().server;
             next.block = number;
             next.owner = item.owner;
--- a/src/policy/queue.cpp
+++ b/src/policy/queue.cpp
@@ -69,6 +69,11 @@
     return found == items_.end() ? nullptr : &found->second;
 }
 
+const lane& job_queue::lane_of(std::int64_t number) const
+{
+    return lanes_.at(items_.at(number).lane);
+}
+
 int job_queue::waiting(const std::string& customer) const
 {
     const auto found = waiting_.find(customer);
--- a/src/policy/queue.hpp
+++ b/src/policy/queue.hpp
@@ -49,12 +49,21 @@
 constexpr milliseconds default_patience{24L * 60 * 60 * 1000};
 job_order order_of(const queued_job& item);
 
+enum class wait_reason
+{
+    not_tried,
+    quota,
+    capacity,
+};
+
 struct lane
 {
     std::set<job_order> jobs;
     // State of the cluster in which the first job could not be placed; 0: not
     // tried.
     std::uint64_t failed_at = 0;
+    // Why.
+    wait_reason reason = wait_reason::not_tried;
 };
 
 // Not thread safe.
@@ -73,6 +82,8 @@
     {
         return static_cast<int>(items_.size());
     }
+    // Precondition: the number is in the queue.
+    const lane& lane_of(std::int64_t number) const;
     std::map<lane_key, lane>& lanes()
     {
         return lanes_;
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -14,7 +14,6 @@
 
 using detail::job_entry;
 using detail::job_phase;
-using detail::wait_reason;
 
 std::string kind_of(const job_entry& entry)
 {
@@ -25,18 +24,14 @@
 {
     switch (reason)
     {
-    case wait_reason::zone_closed:
-        return "waits: the availability zone is out of service";
     case wait_reason::quota:
-        return "waits: the customer's quota is in use";
+        return "the customer's quota is in use";
     case wait_reason::capacity:
-        return "waits: no place is free or may be reclaimed";
-    case wait_reason::victims:
-        return "waits: preempted tasks are stopping";
+        return "no place is free or may be reclaimed";
     case wait_reason::not_tried:
         break;
     }
-    return "waits: earlier jobs go first";
+    return "other jobs go first";
 }
 
 } // namespace
@@ -50,6 +45,7 @@
     void server_failed(int server, const job_entry& entry, time_point now);
     void count_end(const job_entry& entry, bool succeeded, time_point now);
     std::string place_text(const job_entry& entry) const;
+    std::string wait_text(const job_entry& entry) const;
 };
 
 std::optional<failure> scheduler::state::never_fits(const job& item) const
@@ -162,6 +158,26 @@
     return text;
 }
 
+std::string scheduler::state::wait_text(const job_entry& entry) const
+{
+    if (!open)
+    {
+        return "the availability zone is out of service";
+    }
+    if (entry.phase == job_phase::claimed)
+    {
+        return "preempted tasks are stopping";
+    }
+    const auto& waiting = queue.lane_of(entry.number);
+    const auto first = std::get<2>(*waiting.jobs.begin());
+    std::string text(text_of(waiting.reason));
+    if (first != entry.number)
+    {
+        text += "; behind " + jobs.at(first).id;
+    }
+    return text;
+}
+
 scheduler::scheduler(std::string zone)
     : state_(std::make_unique<state>(std::move(zone)))
 {
@@ -413,8 +429,7 @@
     {
         return state_->place_text(*entry);
     }
-    return std::string(
-        text_of(state_->open ? entry->waits_for : wait_reason::zone_closed));
+    return "waits: " + state_->wait_text(*entry);
 }
 
 bool scheduler::guarantees_reclaimable() const
--- a/src/policy/victims.cpp
+++ b/src/policy/victims.cpp
@@ -282,8 +282,7 @@
         }
         auto cost = preemption_cost(task, now);
         cost += task.urgent ? urgent_task_cost : 0;
-        const bool lost = !task.idempotent && !task.can_checkpoint;
-        return cost + (lost ? lost_job_cost : 0);
+        return cost + (loses_job(task) ? lost_job_cost : 0);
     };
 }
 
@@ -291,8 +290,7 @@
 {
     return [now](const placed_task& task) -> std::optional<std::int64_t>
     {
-        const bool lost = !task.idempotent && !task.can_checkpoint;
-        if (task.pinned || task.in_guarantee || task.urgent || lost)
+        if (!preemptible_by_urgent(task))
         {
             return std::nullopt;
         }
--- a/src/policy/zone_state.cpp
+++ b/src/policy/zone_state.cpp
@@ -212,7 +212,6 @@
     next.lane.kind = entry.item.request.kind;
     queue.add(next);
     entry.phase = job_phase::queued;
-    entry.waits_for = wait_reason::not_tried;
     schedule(entry);
 }
 
@@ -322,7 +321,6 @@
     }
     entry.plan = std::move(next);
     entry.phase = job_phase::claimed;
-    entry.waits_for = wait_reason::victims;
     claims.insert(entry.number);
     ++accounts[entry.customer()].claimed_jobs;
 }
@@ -522,9 +520,9 @@
 bool zone_state::promote_task(std::int64_t number)
 {
     const auto& task = *servers.find_task(number);
-    for (const auto& [block_number, item] : book.blocks())
+    for (const int block_number : book.blocks_of(task.customer))
     {
-        if (item.owner.first == task.customer &&
+        if (book.blocks().at(block_number).unused >= task.accelerators &&
             promote_into(task, block_number))
         {
             return true;
--- a/src/policy/zone_state.hpp
+++ b/src/policy/zone_state.hpp
@@ -34,22 +34,12 @@
     placed,
 };
 
-enum class wait_reason
-{
-    not_tried,
-    zone_closed,
-    quota,
-    capacity,
-    victims,
-};
-
 struct job_entry
 {
     job item;
     std::string id;
     std::int64_t number = 0;
     job_phase phase = job_phase::queued;
-    wait_reason waits_for = wait_reason::not_tried;
     bool running = false;
     // Its end says nothing about the health of its servers.
     bool stop_asked = false;
