Report a log destination that cannot be written

Cause: serve ended with an uncaught exception of Boost.Log when the directory of log.destination did not exist, and would have done so later on a full disk.

Change: serve opens the file before it starts and reports bad_settings; start_log suppresses exceptions of the sinks, so that a line is lost instead of the process.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -5,6 +5,7 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/exception_handler.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/log/utility/setup/file.hpp>
@@ -81,6 +82,9 @@
 
 void start_log(log_level level, const std::string& destination)
 {
+    // A full disk must not end the process.
+    boost::log::core::get()->set_exception_handler(
+        boost::log::make_exception_suppressor());
     boost::log::add_common_attributes();
     if (destination == "stderr")
     {
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -8,6 +8,7 @@
 #include "config/sheet_file.hpp"
 #include "entry/process.hpp"
 
+#include <fstream>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -46,6 +47,16 @@
     return exit_ok;
 }
 
+// Opens the file of the log, because lines that cannot be written are dropped.
+bool can_log_to(const std::string& destination)
+{
+    if (destination == "stderr")
+    {
+        return true;
+    }
+    return std::ofstream(destination, std::ios::app).is_open();
+}
+
 int serve(const command_line& line)
 {
     failure why;
@@ -54,6 +65,14 @@
     {
         return report_failure(why);
     }
+    if (!can_log_to(values->log.destination))
+    {
+        return report_failure({result_code::bad_settings,
+                               line.settings +
+                                   ": log.destination: cannot "
+                                   "write to " +
+                                   values->log.destination});
+    }
     start_log(values->log.level, values->log.destination);
     if (!run_entry_vm(*values, line.settings, why))
     {
