--- a/tests/sheet_test.cpp
+++ b/tests/sheet_test.cpp
@@ -1,7 +1,9 @@
 #include "config/sheet_check.hpp"
 #include "config/sheet_file.hpp"
 #include "model/codec.hpp"
+#include "policy/scheduler.hpp"
 
+#include <random>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -149,3 +151,44 @@
     plan.guarantees = {{"a", "z", 8, 3}};
     CHECK(find_shortfalls(plan, plan.zones[0]).size() == 1);
 }
+
+// Guards against a sheet that is accepted although the scheduler cannot keep
+// its guarantees, or refused although it can; on 300 small random sheets.
+TEST(sheet_guarantees, are_those_that_the_scheduler_keeps)
+{
+    std::mt19937 random(1);
+    const auto pick = [&random](int least, int most)
+    {
+        return least + static_cast<int>(random() % (most - least + 1));
+    };
+    int accepted = 0;
+    for (int round = 0; round < 300; ++round)
+    {
+        auto plan = small_sheet();
+        plan.zones[0].racks.clear();
+        for (int rack = pick(1, 3); rack > 0; --rack)
+        {
+            plan.zones[0].racks.push_back(
+                {"r" + std::to_string(rack), pick(1, 4), pick(0, 12)});
+        }
+        for (const int shape : {1, 2, 4, 8, 16, 32})
+        {
+            plan.guarantees.push_back({"a", "z", shape, pick(0, 2)});
+        }
+        scheduler policy("z");
+        policy.set_sheet(plan);
+        for (const auto& rack : plan.zones[0].racks)
+        {
+            for (int i = 0; i < rack.servers; ++i)
+            {
+                policy.add_server({rack.name + "-" + std::to_string(i),
+                                   rack.name,
+                                   rack.accelerators_per_server});
+            }
+        }
+        const bool fits = find_shortfalls(plan, plan.zones[0]).empty();
+        CHECK(fits == policy.guarantees_reclaimable());
+        accepted += fits ? 1 : 0;
+    }
+    CHECK(accepted > 30 && accepted < 270);
+}
