--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -172,7 +172,9 @@
     {
         print_error(reply.result, out);
     }
-    if (!reply.answered || !reply.body.isMember("version"))
+    const bool made = reply.result.code == result_code::ok ||
+                      reply.result.code == result_code::pending;
+    if (!reply.answered || !made)
     {
         return exit_code_of(reply);
     }
