--- a/src/control/config_change.cpp
+++ b/src/control/config_change.cpp
@@ -189,6 +189,12 @@
             target_.zones[closing.zone] = zone_state::out;
         }
     }
+    if (edit_.background && target_.zones == hooks_.view->current().zones)
+    {
+        // Another entry VM has made the closings durable.
+        finish({});
+        return;
+    }
     target_.version = hooks_.view->current().version + 1;
     target_.changed_by = edit_.changed_by;
     table_change change{config_row_key,
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -59,7 +59,7 @@
 
 struct controller::state : std::enable_shared_from_this<controller::state>
 {
-    state(controller_settings settings, controller_hooks hooks)
+    state(const controller_settings& settings, const controller_hooks& hooks)
         : context{settings,
                   hooks,
                   membership(settings.vm,
@@ -416,31 +416,32 @@
     done();
 }
 
-controller::controller(controller_settings settings, controller_hooks hooks)
-    : state_(std::make_shared<state>(std::move(settings), std::move(hooks)))
+controller::controller(const controller_settings& settings,
+                       const controller_hooks& hooks)
+    : state_(std::make_shared<state>(settings, hooks))
 {
     state_->start();
 }
 
 controller::~controller() = default;
 
-void controller::submit(job_request request,
+void controller::submit(const job_request& request,
                         time_point wait_until,
                         std::function<void(job_reply)> done)
 {
     state_->submissions->submit(request, {wait_until, std::move(done)});
 }
 
-void controller::get_job(std::string customer,
-                         std::string key,
+void controller::get_job(const std::string& customer,
+                         const std::string& key,
                          time_point wait_until,
                          std::function<void(job_reply)> done)
 {
     state_->read_job(customer, key, {wait_until, std::move(done)}, false);
 }
 
-void controller::cancel_job(std::string customer,
-                            std::string key,
+void controller::cancel_job(const std::string& customer,
+                            const std::string& key,
                             std::function<void(job_reply)> done)
 {
     const auto wait_until = state_->context.now() + cancel_wait;
@@ -478,7 +479,7 @@
     state_->start_change(std::move(edit), std::move(done));
 }
 
-void controller::set_zone(std::string zone,
+void controller::set_zone(const std::string& zone,
                           zone_state target,
                           std::string changed_by,
                           std::function<void(change_reply)> done)
--- a/src/control/controller.hpp
+++ b/src/control/controller.hpp
@@ -87,22 +87,23 @@
 class controller
 {
 public:
-    controller(controller_settings settings, controller_hooks hooks);
+    controller(const controller_settings& settings,
+               const controller_hooks& hooks);
     ~controller();
     controller(const controller&) = delete;
     controller& operator=(const controller&) = delete;
 
     // Accepts a job and answers when it has ended or at `wait_until`, whichever
     // is first. Precondition: customer and key are not empty.
-    void submit(job_request request,
+    void submit(const job_request& request,
                 time_point wait_until,
                 std::function<void(job_reply)> done);
-    void get_job(std::string customer,
-                 std::string key,
+    void get_job(const std::string& customer,
+                 const std::string& key,
                  time_point wait_until,
                  std::function<void(job_reply)> done);
-    void cancel_job(std::string customer,
-                    std::string key,
+    void cancel_job(const std::string& customer,
+                    const std::string& key,
                     std::function<void(job_reply)> done);
 
     // Replaces the sheet if its version is still `expected_version` (0 takes
@@ -111,7 +112,7 @@
                      std::uint64_t expected_version,
                      std::string changed_by,
                      std::function<void(change_reply)> done);
-    void set_zone(std::string zone,
+    void set_zone(const std::string& zone,
                   zone_state target,
                   std::string changed_by,
                   std::function<void(change_reply)> done);
--- a/src/control/submission.cpp
+++ b/src/control/submission.cpp
@@ -138,24 +138,19 @@
     if (allowed.empty())
     {
         refuse_new(request, caller, why);
+        return;
     }
-    else if (allowed.size() == 1)
-    {
-        accept(request, allowed.front(), caller);
-    }
-    else if (allowed.front() != context_.settings.zone)
-    {
-        choose(request, allowed, allowed, caller);
-    }
-    else if (request.deadline == no_deadline)
+    const bool own = allowed.front() == context_.settings.zone;
+    if (allowed.size() == 1 || (own && request.deadline == no_deadline))
     {
         accept(request, allowed.front(), caller);
+        return;
     }
-    else
-    {
-        // Other availability zones are asked only if the own one is not enough.
-        choose(request, allowed, {allowed.front()}, caller);
-    }
+    // Other availability zones are asked only if the own one is not enough.
+    choose(request,
+           allowed,
+           own ? std::vector<std::string>{allowed.front()} : allowed,
+           caller);
 }
 
 failure submission::refusal_before_choice(const job_request& request) const
@@ -165,17 +160,18 @@
         return {result_code::vm_stopping,
                 "this entry VM takes no new jobs; use another one"};
     }
-    if (const auto error =
-            check_request(request, context_.view.current(), context_.now()))
+    auto error =
+        check_request(request, context_.view.current(), context_.now());
+    if (error)
     {
         return error;
     }
     if (waiting_->full() ||
         open_ > static_cast<std::size_t>(context_.settings.max_waiting))
     {
-        return {result_code::shed, "too many callers wait at this entry VM"};
+        error = {result_code::shed, "too many callers wait at this entry VM"};
     }
-    return {};
+    return error;
 }
 
 bool submission::join_known(const job_request& request,
--- /dev/null
+++ b/tests/control_config_test.cpp
@@ -0,0 +1,633 @@
+// Operators' changes, with a fault at every step.
+#include "control/config_row.hpp"
+#include "control/membership.hpp"
+#include "control/zone_choice.hpp"
+#include "control_fakes.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+using namespace poplarramp::tests;
+
+namespace
+{
+
+constexpr auto ok = result_code::ok;
+constexpr auto pending = result_code::pending;
+constexpr auto conflict = result_code::conflict;
+constexpr auto unavailable = result_code::store_unavailable;
+constexpr auto lost = result_code::answer_lost;
+
+struct operator_call
+{
+    std::vector<change_reply> replies;
+    // Version of every VM when the reply came.
+    std::map<std::string, std::uint64_t> versions;
+
+    result_code code() const
+    {
+        return replies.size() == 1 ? replies[0].error.code
+                                   : result_code::internal_error;
+    }
+};
+
+std::function<void(change_reply)> done(fake_world& world, operator_call& by)
+{
+    return [&world, &by](change_reply reply)
+    {
+        by.replies.push_back(std::move(reply));
+        for (const auto& vm : world.vms)
+        {
+            if (vm->control)
+            {
+                by.versions[vm->id] = vm->control->config().version;
+            }
+        }
+    };
+}
+
+void change(fake_world& world,
+            const std::string& vm,
+            const std::string& operation,
+            const std::string& who,
+            operator_call& by)
+{
+    auto& control = *world.vm(vm).control;
+    if (operation == "sheet")
+    {
+        auto plan = test_sheet();
+        plan.customers.push_back({"of " + who, 0, 10});
+        control.apply_sheet(plan, 0, who, done(world, by));
+        return;
+    }
+    control.set_zone("a",
+                     operation == "out" ? zone_state::out : zone_state::open,
+                     who,
+                     done(world, by));
+}
+
+// Checks at every moment: no version falls at any VM, and no scheduler of "a"
+// is open while the row has "a" out of service and its VM knows it.
+class monitor
+{
+public:
+    explicit monitor(fake_world& world) : world_(world)
+    {
+        world.monitor = [this]
+        {
+            check();
+        };
+    }
+
+    std::string broken;
+
+private:
+    void check()
+    {
+        for (const auto& vm : world_.vms)
+        {
+            if (!vm->control)
+            {
+                continue;
+            }
+            const auto& config = vm->control->config();
+            auto& highest = highest_[vm->id];
+            if (config.version < highest)
+            {
+                broken = vm->id + " went back";
+            }
+            highest = config.version;
+            const bool out = config.zones.contains("a") &&
+                             config.zones.at("a") == zone_state::out;
+            if (vm->zone == "a" && vm->scheduler.open && out)
+            {
+                broken = vm->id + " is open although out of service";
+            }
+            if (config.version > world_.config_in_row().version)
+            {
+                broken = vm->id + " has a version that is not durable";
+            }
+        }
+    }
+
+    fake_world& world_;
+    std::map<std::string, std::uint64_t> highest_;
+};
+
+bool all_closed(const fake_world& world)
+{
+    return std::none_of(world.vms.begin(),
+                        world.vms.end(),
+                        [](const auto& vm)
+                        {
+                            return vm->zone == "a" && !vm->killed &&
+                                   !vm->silent && vm->scheduler.open;
+                        });
+}
+
+bool is_out(const configuration& config)
+{
+    return config.zones.at("a") == zone_state::out;
+}
+
+// Which calls for the configuration row fail, and for how long.
+struct change_case
+{
+    const char* calls;
+    call_fault fault;
+    milliseconds lasts;
+    result_code out;
+    result_code back;
+    result_code sheet;
+};
+
+constexpr milliseconds brief{700};
+constexpr milliseconds outage{12000};
+
+const std::vector<change_case> change_cases{
+    {"none", call_fault::none, outage, ok, ok, ok},
+    {"first write",
+     call_fault::down,
+     outage,
+     pending,
+     unavailable,
+     unavailable},
+    {"first write", call_fault::silent, outage, ok, ok, ok},
+    {"first write", call_fault::answer_lost, outage, ok, ok, ok},
+    {"first write", call_fault::slow, outage, ok, ok, ok},
+    {"first write", call_fault::conflict, outage, conflict, conflict, conflict},
+    {"writes", call_fault::down, outage, pending, unavailable, unavailable},
+    {"writes", call_fault::silent, outage, pending, lost, lost},
+    {"writes", call_fault::answer_lost, outage, ok, ok, ok},
+    {"reads", call_fault::down, brief, pending, unavailable, unavailable},
+    {"reads", call_fault::silent, brief, ok, ok, ok},
+    {"reads", call_fault::silent, outage, pending, unavailable, unavailable},
+    {"all", call_fault::down, outage, pending, unavailable, unavailable},
+    {"all", call_fault::silent, outage, pending, unavailable, unavailable},
+    {"all", call_fault::answer_lost, brief, ok, ok, ok},
+    {"all", call_fault::slow, outage, ok, ok, ok},
+};
+
+bool is_hit(const change_case& each, const table_call& call, int writes)
+{
+    const std::string calls = each.calls;
+    return calls == "all" || (calls == "writes" && call.is_write) ||
+           (calls == "reads" && !call.is_write) ||
+           (calls == "first write" && call.is_write && writes == 1);
+}
+
+void write_as_other(fake_world& world)
+{
+    auto config = world.config_in_row();
+    ++config.version;
+    config.changed_by = "winner";
+    auto& row = world.rows["config"];
+    row.value = encode_config_row(config, {}, "token of the winner");
+    ++row.version;
+}
+
+std::string violation(fake_world& world,
+                      const std::string& operation,
+                      const operator_call& by)
+{
+    const auto& reply = by.replies[0];
+    const auto row = world.config_in_row();
+    for (const auto& [vm, version] : by.versions)
+    {
+        if (!reply.error && version < reply.version)
+        {
+            return "ok before " + vm + " has it";
+        }
+    }
+    if (reply.error.code == conflict &&
+        reply.error.reason !=
+            "changed by winner to version " + std::to_string(reply.version))
+    {
+        return "wrong winner: " + reply.error.reason;
+    }
+    const bool done = !reply.error || reply.error.code == pending;
+    if (operation == "out" && done && (!is_out(row) || !all_closed(world)))
+    {
+        return "not out in the end";
+    }
+    if (operation == "back" && done && is_out(row))
+    {
+        return "not back in the end";
+    }
+    if (is_not_run(reply.error.code) && row.changed_by == "operator")
+    {
+        return "written after all";
+    }
+    for (const auto& vm : world.vms)
+    {
+        if (vm->control->config().version != row.version)
+        {
+            return vm->id + " differs in the end";
+        }
+    }
+    return {};
+}
+
+void run_change_case(const change_case& each, const std::string& operation)
+{
+    fake_world world;
+    world.start(2);
+    if (operation == "back")
+    {
+        operator_call before;
+        change(world, "a1", "out", "before", before);
+        world.run_for(milliseconds(3000));
+        CHECK(before.code() == ok);
+    }
+    monitor watch(world);
+    int writes = 0;
+    const auto end = world.now + each.lasts;
+    world.other_writer = [&]
+    {
+        write_as_other(world);
+    };
+    world.table_fault = [&](const table_call& call)
+    {
+        if (call.key != "config" || world.now >= end)
+        {
+            return call_fault::none;
+        }
+        writes += call.is_write ? 1 : 0;
+        return is_hit(each, call, writes) ? each.fault : call_fault::none;
+    };
+    world.before_write = [&](const std::string&)
+    {
+        if (operation == "out" && !all_closed(world))
+        {
+            watch.broken = "written before it was closed";
+        }
+    };
+    operator_call by;
+    change(world, "b1", operation, "operator", by);
+    world.run_for(milliseconds(9000));
+    const auto code = by.code();
+    world.run_for(milliseconds(25000));
+    const auto at = operation + ", " + each.calls + " " + name_of(each.fault) +
+                    ": " + std::string(name_of(code));
+    const auto expected = operation == "out"    ? each.out
+                          : operation == "back" ? each.back
+                                                : each.sheet;
+    CHECK_TEXT(code == expected, at.c_str());
+    const auto found =
+        watch.broken.empty() ? violation(world, operation, by) : watch.broken;
+    CHECK_TEXT(found.empty(), (found + " at " + at).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(control_config)
+{
+    fake_world world;
+};
+
+// Guards against a change that is reported wrongly, is written before the
+// availability zone is closed, opens before it is durable, or is reverted, with
+// the table failing at each call.
+TEST(control_config, changes_survive_every_fault_of_the_table)
+{
+    for (const auto& each : change_cases)
+    {
+        for (const std::string operation : {"out", "back", "sheet"})
+        {
+            run_change_case(each, operation);
+        }
+    }
+}
+
+// Guards against two operators who are both told that they won, and a loser who
+// is not told by whom.
+TEST(control_config, exactly_one_of_two_racing_operators_wins)
+{
+    const std::vector<std::string> operations{"out", "back", "sheet"};
+    for (const auto& first : operations)
+    {
+        for (const auto& second : operations)
+        {
+            fake_world fresh;
+            fresh.start(2);
+            monitor watch(fresh);
+            operator_call one;
+            operator_call two;
+            change(fresh, "a1", first, "one", one);
+            change(fresh, "b1", second, "two", two);
+            fresh.run_for(milliseconds(8000));
+            const auto at = first + " and " + second;
+            CHECK_TEXT(watch.broken.empty(), (watch.broken + at).c_str());
+            if (fresh.config_in_row().version == 7)
+            {
+                // The closing came first, so that the changes did not overlap.
+                CHECK_TEXT(one.code() == ok && two.code() == ok, at.c_str());
+                continue;
+            }
+            CHECK_TEXT((one.code() == ok) != (two.code() == ok), at.c_str());
+            const bool one_won = one.code() == ok;
+            const auto& loser = one_won ? two : one;
+            CHECK_TEXT(loser.code() == conflict, at.c_str());
+            CHECK(loser.replies[0].error.reason ==
+                  std::string("changed by ") + (one_won ? "one" : "two") +
+                      " to version 6");
+            CHECK(fresh.config_in_row().changed_by ==
+                  (one_won ? "one" : "two"));
+        }
+    }
+}
+
+// Guards against a sheet that overwrites a change its planner has not seen.
+TEST(control_config, a_sheet_with_an_old_version_is_refused)
+{
+    world.start(1);
+    operator_call by;
+    world.vm("a1").control->apply_sheet(
+        test_sheet(), 4, "late planner", done(world, by));
+    world.run_for(milliseconds(1000));
+    CHECK(by.code() == conflict);
+    CHECK(by.replies[0].error.reason == "changed by planner to version 5");
+    CHECK(world.config_in_row().version == 5);
+}
+
+// Guards against `ok` while an entry VM has not confirmed, and against a
+// pending change that does not name it.
+TEST(control_config, names_the_vms_that_did_not_confirm)
+{
+    for (const bool killed : {false, true})
+    {
+        fake_world fresh;
+        fresh.start(2);
+        auto& gone = fresh.vm("a2");
+        killed ? fresh.kill(gone) : static_cast<void>(gone.silent = true);
+        operator_call by;
+        change(fresh, "b1", "out", "operator", by);
+        fresh.run_for(milliseconds(6000));
+        CHECK(by.code() == pending);
+        CHECK(by.replies[0].unconfirmed == std::vector<std::string>{"a2"});
+        CHECK(by.replies[0].confirmed.size() == 3);
+    }
+}
+
+// Guards against an availability zone that stays open because messages between
+// availability zones are lost, or because it does not reach the table.
+TEST(control_config, either_path_closes_a_zone)
+{
+    for (const bool cut_links : {false, true})
+    {
+        fake_world fresh;
+        fresh.start(2);
+        (cut_links ? fresh.zones_cut : fresh.table_cut_from_a) = true;
+        operator_call by;
+        change(fresh, "b1", "out", "operator", by);
+        fresh.run_for(milliseconds(3000));
+        CHECK(all_closed(fresh));
+    }
+}
+
+// Guards against a zone that was cut off on both paths and does not close when
+// it is reached again.
+TEST(control_config, an_isolated_zone_closes_when_it_is_reached)
+{
+    world.start(2);
+    world.zones_cut = true;
+    world.table_cut_from_a = true;
+    operator_call by;
+    change(world, "b1", "out", "operator", by);
+    world.run_for(milliseconds(20000));
+    CHECK(by.code() == pending);
+    CHECK(by.replies[0].unconfirmed == (std::vector<std::string>{"a1", "a2"}));
+    CHECK(!all_closed(world));
+    world.zones_cut = false;
+    world.run_for(milliseconds(2000));
+    CHECK(all_closed(world));
+}
+
+// Guards against a provisional closing that is lost with the VM the operator
+// used while the table is down.
+TEST(control_config, a_closing_outlives_the_vm_it_was_made_at)
+{
+    world.start(2);
+    world.table_fault = [](const table_call&)
+    {
+        return call_fault::down;
+    };
+    operator_call by;
+    change(world, "b1", "out", "operator", by);
+    world.run_for(milliseconds(1000));
+    CHECK(by.code() == pending);
+    CHECK(by.replies[0].unconfirmed.empty());
+    world.kill(world.vm("b1"));
+    // A VM that starts during the outage learns of it from heartbeats.
+    world.add_vm("a3", "a");
+    world.run_for(milliseconds(10000));
+    CHECK(!world.vm("a3").scheduler.open);
+    world.table_fault = nullptr;
+    world.run_for(milliseconds(12000));
+    CHECK(is_out(world.config_in_row()));
+    CHECK(world.config_in_row().version == 6);
+    CHECK(world.config_in_row().changed_by == "operator");
+}
+
+// Guards against a sheet that ends a closing which is not durable yet.
+TEST(control_config, a_sheet_keeps_provisional_closings)
+{
+    world.start(2);
+    world.table_fault = [](const table_call&)
+    {
+        return call_fault::down;
+    };
+    operator_call out;
+    change(world, "b1", "out", "operator", out);
+    world.run_for(milliseconds(1000));
+    world.table_fault = nullptr;
+    operator_call by;
+    change(world, "a1", "sheet", "planner", by);
+    world.run_for(milliseconds(3000));
+    CHECK(by.code() == ok);
+    CHECK(is_out(world.config_in_row()));
+    CHECK(all_closed(world));
+}
+
+// Guards against a view that counts as confirmed although nobody outside the
+// availability zone was heard, which lets a task start after a closing.
+TEST(control_config, the_view_ages_in_isolation)
+{
+    world.start(2);
+    const auto age = [this]
+    {
+        const auto& hooks = world.vm("a1").scheduler.hooks;
+        return world.now - hooks.config_confirmed_at();
+    };
+    CHECK(age() < milliseconds(1200));
+    world.table_cut_from_a = true;
+    world.run_for(milliseconds(5000));
+    CHECK(age() < milliseconds(1500));
+    world.zones_cut = true;
+    world.run_for(milliseconds(5000));
+    CHECK(age() > milliseconds(4000));
+    world.table_cut_from_a = false;
+    world.run_for(milliseconds(3000));
+    CHECK(age() < milliseconds(1200));
+}
+
+// Guards against a configuration that goes back when an old one arrives late,
+// from a peer or from the table.
+TEST(control_config, old_versions_are_ignored)
+{
+    world.start(1);
+    const auto old_row = world.rows["config"];
+    const auto old_config = world.vm("a1").control->config();
+    operator_call by;
+    change(world, "b1", "out", "operator", by);
+    world.run_for(milliseconds(3000));
+    CHECK(!world.vm("a1").handlers.on_put_config(old_config));
+    world.rows["config"] = old_row;
+    world.run_for(milliseconds(3000));
+    CHECK(world.vm("a1").control->config().version == 6);
+    CHECK(all_closed(world));
+}
+
+TEST_GROUP(control_membership)
+{
+    static heartbeat beat(const std::string& vm,
+                          const std::string& incarnation,
+                          std::uint64_t sequence)
+    {
+        heartbeat message;
+        message.vm = vm;
+        message.incarnation = incarnation;
+        message.zone = "a";
+        message.address = vm + ":1";
+        message.sequence = sequence;
+        return message;
+    }
+
+    time_point now{milliseconds(10000)};
+    membership view{"a1", "a", "a1:1", time_point(milliseconds(0))};
+};
+
+// Guards against a heartbeat that arrives late and takes back what a younger
+// one said, within one process and after a restart.
+TEST(control_membership, ignores_heartbeats_out_of_order)
+{
+    auto leaving = beat("a2", "2", 7);
+    leaving.leaving = true;
+    CHECK(view.on_heartbeat(leaving, now));
+    CHECK(!view.on_heartbeat(beat("a2", "2", 6), now));
+    CHECK(!view.on_heartbeat(beat("a2", "2", 7), now));
+    CHECK(!view.on_heartbeat(beat("a2", "1", 90), now));
+    CHECK(view.peers()[0].leaving);
+    CHECK(view.on_heartbeat(beat("a2", "3", 1), now));
+    CHECK(!view.peers()[0].leaving);
+    // The clock of a VM that was restarted begins again.
+    CHECK(view.on_heartbeat(beat("a2", "0", 1), now + milliseconds(2000)));
+}
+
+// Guards against a scheduler that is leaving, silent, or only in the list, and
+// against VMs that compute different schedulers.
+TEST(control_membership, chooses_a_live_scheduler_that_stays)
+{
+    const std::vector<vm_member> list{
+        {"a2", vm_role::entry, "a", "", "a2:1", false},
+        {"a3", vm_role::entry, "a", "", "a3:1", false},
+        {"a4", vm_role::entry, "a", "", "a4:1", true}};
+    view.set_list(list);
+    CHECK(view.scheduler_of("a", now)->vm == "a1");
+    view.set_leaving();
+    CHECK(!view.scheduler_of("a", now));
+    view.on_heartbeat(beat("a3", "1", 1), now);
+    view.on_heartbeat(beat("a4", "1", 1), now);
+    CHECK(view.scheduler_of("a", now)->vm == "a3");
+    CHECK(!view.scheduler_of("a", now + milliseconds(1500)));
+    const std::vector<std::string_view> ids{"x", "y", "z"};
+    const std::vector<std::string_view> reversed{"z", "y", "x"};
+    for (const auto* zone : {"a", "b", "c", "d"})
+    {
+        CHECK(first_by_rendezvous(zone, ids) ==
+              first_by_rendezvous(zone, reversed));
+    }
+}
+
+// Guards against an operator who waits for VMs that have left, or is not told
+// of one that is only listed.
+TEST(control_membership, knows_who_must_confirm)
+{
+    const std::vector<vm_member> list{
+        {"a2", vm_role::entry, "a", "", "a2:1", false},
+        {"a4", vm_role::entry, "a", "", "a4:1", true}};
+    view.set_list(list);
+    CHECK(view.must_confirm(now).size() == 1);
+    view.on_heartbeat(beat("a4", "1", 1), now);
+    view.on_heartbeat(beat("a5", "1", 1), now);
+    CHECK(view.must_confirm(now).size() == 3);
+    CHECK(view.must_confirm(now + milliseconds(2000)).size() == 1);
+}
+
+TEST_GROUP(control_zone_choice)
+{
+    configuration config;
+    job_request request = request_of("glaze", "k");
+    std::string closed;
+
+    zone_question question()
+    {
+        config.version = 1;
+        config.plan = test_sheet();
+        config.plan.zones.push_back({"c", "south", {{"r1", 1, 8}}});
+        zone_question result;
+        result.config = &config;
+        result.request = &request;
+        result.own_zone = "a";
+        result.now = time_point(milliseconds(0));
+        result.is_open = [this](std::string_view zone)
+        {
+            return zone != closed;
+        };
+        result.is_reachable = [](std::string_view)
+        {
+            return true;
+        };
+        return result;
+    }
+    static std::string choice(const zone_question& asked)
+    {
+        failure why;
+        const auto allowed = allowed_zones(asked, why);
+        return allowed.empty() ? std::string(name_of(why.code))
+                               : choose_zone(asked, allowed);
+    }
+};
+
+// Guards against work that leaves its availability zone, and is paid for,
+// without need, or that stays in one that is closed, too small or too slow.
+TEST(control_zone_choice, prefers_the_own_zone_unless_it_will_not_do)
+{
+    CHECK(choice(question()) == "a");
+    closed = "a";
+    CHECK(choice(question()) == "c");
+    request.accelerators = 16;
+    CHECK(choice(question()) == "b");
+    request.accelerators = 64;
+    CHECK(choice(question()) == "never_fits");
+    closed = "";
+    request.accelerators = 8;
+    request.deadline = time_point(milliseconds(100000));
+    auto full = question();
+    full.loads["a"] = {0, 32, 64};
+    full.loads["b"] = {8, 32, 0};
+    full.loads["c"] = {0, 8, 0};
+    CHECK(choice(full) == "b");
+    // A long payload costs more than a short wait in the own region.
+    request.deadline = time_point(milliseconds(900000));
+    full.loads["a"] = {0, 1, 64};
+    request.payload.assign(std::size_t(64) << 20U, 'x');
+    CHECK(choice(full) == "c");
+    request.deadline = time_point(milliseconds(1000));
+    CHECK(choice(full) == "a");
+}
--- a/tests/control_fakes.cpp
+++ b/tests/control_fakes.cpp
@@ -18,15 +18,15 @@
 constexpr milliseconds tick_interval{50};
 
 template <class Reply>
-void set_error(Reply& reply, failure error)
+void set_error(Reply& reply, const failure& error)
 {
     if constexpr (std::is_same_v<Reply, failure>)
     {
-        reply = std::move(error);
+        reply = error;
     }
     else
     {
-        reply.error = std::move(error);
+        reply.error = error;
     }
 }
 
@@ -35,7 +35,7 @@
 const char* name_of(call_fault fault)
 {
     constexpr std::array names{
-        "none", "down", "silent", "answer_lost", "slow", "conflict"};
+        "none", "down", "silent", "answer_lost", "slow", "conflict", "twice"};
     return names.at(static_cast<std::size_t>(fault));
 }
 
@@ -63,6 +63,10 @@
             events_.erase(events_.begin());
             action();
         }
+        if (monitor && now.time_since_epoch().count() % 10 == 0)
+        {
+            monitor();
+        }
         if (now.time_since_epoch().count() % tick_interval.count() != 0)
         {
             continue;
@@ -160,7 +164,7 @@
     hooks.store = table_for(vm.zone);
     hooks.objects.get = [this](const std::string& key,
                                time_point deadline,
-                               std::function<void(object_reply)> done)
+                               const std::function<void(object_reply)>& done)
     {
         const auto wait = objects_down ? deadline - now : link_delay;
         at(wait,
@@ -171,7 +175,7 @@
            });
     };
     hooks.members.read =
-        [this](time_point, std::function<void(member_list_reply)> done)
+        [this](time_point, const std::function<void(member_list_reply)>& done)
     {
         at(link_delay, [this, done] { done({{}, members}); });
     };
@@ -194,17 +198,33 @@
 }
 
 call_fault fake_world::next_fault(const std::string& zone,
-                                  const std::string& key)
+                                  const std::string& key,
+                                  bool is_write)
 {
     if (table_cut_from_a && zone == "a")
     {
         return call_fault::silent;
     }
-    if (!table_fault || !key.starts_with(fault_prefix))
+    if (!table_fault)
     {
         return call_fault::none;
     }
-    return table_fault(++table_calls);
+    const auto prefix = key.substr(0, key.find('/'));
+    const int number = ++table_calls_[prefix + (is_write ? "+" : "-")];
+    return table_fault({zone, key, is_write, number});
+}
+
+const configuration& fake_world::config_in_row()
+{
+    // Monitors ask every 10 ms.
+    const auto& row = rows.at("config");
+    if (row.value != decoded_value_)
+    {
+        failure why;
+        decoded_ = decode_config_row(row, why)->config;
+        decoded_value_ = row.value;
+    }
+    return decoded_;
 }
 
 void fake_world::answer(call_fault fault,
@@ -241,9 +261,9 @@
     table store;
     store.read = [this, zone](const std::string& key,
                               time_point deadline,
-                              std::function<void(table_read_reply)> done)
+                              const std::function<void(table_read_reply)>& done)
     {
-        answer(next_fault(zone, key),
+        answer(next_fault(zone, key, false),
                deadline,
                [this, key, done](const failure& error)
                {
@@ -252,15 +272,20 @@
                    done({error, given ? found->second : table_row{key, "", 0}});
                });
     };
-    store.write = [this, zone](const std::vector<table_change>& changes,
-                               time_point deadline,
-                               std::function<void(table_write_reply)> done)
+    store.write =
+        [this, zone](const std::vector<table_change>& changes,
+                     time_point deadline,
+                     const std::function<void(table_write_reply)>& done)
     {
-        const auto fault = next_fault(zone, changes.front().key);
+        const auto fault = next_fault(zone, changes.front().key, true);
         if (fault == call_fault::conflict && other_writer)
         {
             other_writer();
         }
+        if (before_write)
+        {
+            before_write(changes.front().key);
+        }
         table_write_reply reply;
         if (fault != call_fault::down && fault != call_fault::silent)
         {
@@ -325,26 +350,49 @@
                       std::function<void(Reply)> done,
                       Handle handle)
 {
-    if (on_peer_call)
+    const auto fault =
+        peer_fault ? peer_fault(address.substr(0, address.find(':')), method)
+                   : call_fault::none;
+    const bool late = fault == call_fault::slow;
+    const bool lost =
+        late || fault == call_fault::silent || fault == call_fault::answer_lost;
+    const auto deliver = [this, &from, address, handle](Reply& reply)
+    {
+        auto* const target = reach(from, address);
+        if (target != nullptr)
+        {
+            reply = handle(target->handlers);
+        }
+        return target != nullptr;
+    };
+    if (late || fault == call_fault::twice)
+    {
+        at(milliseconds(1500),
+           [deliver]
+           {
+               Reply reply{};
+               deliver(reply);
+           });
+    }
+    if (fault == call_fault::down)
     {
-        on_peer_call(address.substr(0, address.find(':')), method);
+        Reply reply{};
+        set_error(reply, {result_code::unreachable, "refused"});
+        at(link_delay, [done = std::move(done), reply] { done(reply); });
+        return;
     }
     at(link_delay,
-       [this, &from, address, deadline, done = std::move(done), handle]
+       [this, deadline, done = std::move(done), deliver, lost, fault]
        {
-           auto* const target = reach(from, address);
            Reply reply{};
-           auto delay = link_delay;
-           if (target == nullptr)
+           const bool arrives = !lost || fault == call_fault::answer_lost;
+           const bool answered = arrives && deliver(reply) && !lost;
+           if (!answered)
            {
                set_error(reply, {result_code::timeout, "no answer"});
-               delay = deadline - now;
            }
-           else
-           {
-               reply = handle(target->handlers);
-           }
-           at(delay, [done, reply] { done(reply); });
+           at(answered ? link_delay : deadline - now,
+              [done, reply] { done(reply); });
        });
 }
 
@@ -401,7 +449,13 @@
                                [id](const peer_handlers& target)
                                { return target.on_job_status(id); });
     };
-    // The messages with one argument that are answered with a failure.
+    add_job_calls(api, vm);
+    return api;
+}
+
+// The messages that are answered with a failure.
+void fake_world::add_job_calls(peer_api& api, fake_vm& vm)
+{
     const auto simple = [this, &vm](const std::string& method, auto member)
     {
         return [this, &vm, method, member](const std::string& to,
@@ -409,13 +463,13 @@
                                            time_point deadline,
                                            peer_done<failure> done)
         {
-            call<failure>(vm,
-                          to,
-                          method,
-                          deadline,
-                          std::move(done),
-                          [argument, member](const peer_handlers& target)
-                          { return (target.*member)(argument); });
+            this->call<failure>(vm,
+                                to,
+                                method,
+                                deadline,
+                                std::move(done),
+                                [argument, member](const peer_handlers& target)
+                                { return (target.*member)(argument); });
         };
     };
     api.put_config = simple("put_config", &peer_handlers::on_put_config);
@@ -436,7 +490,6 @@
                       [id, outcome](const peer_handlers& target)
                       { return target.on_job_done(id, outcome); });
     };
-    return api;
 }
 
 void fake_world::end_job(fake_vm& vm,
--- a/tests/control_fakes.hpp
+++ b/tests/control_fakes.hpp
@@ -31,6 +31,8 @@
     slow,
     // Another writer gets in before.
     conflict,
+    // Arrives twice.
+    twice,
 };
 
 const char* name_of(call_fault fault);
@@ -62,6 +64,15 @@
     std::unique_ptr<controller> control;
 };
 
+struct table_call
+{
+    std::string zone;
+    std::string key;
+    bool is_write = false;
+    // From 1, among reads or writes of rows with the same prefix up to '/'.
+    int number = 0;
+};
+
 class fake_world
 {
 public:
@@ -82,13 +93,16 @@
     void end_job(fake_vm& vm, const std::string& id, job_outcome outcome);
     int runs_of(const std::string& id) const;
     std::optional<job> row_of(const std::string& id) const;
+    const configuration& config_in_row();
     void at(milliseconds delay, std::function<void()> action);
 
-    // Faults of the table: by the number of the call since `clear_calls`, from
-    // 1, among calls to rows whose key starts with `fault_prefix`.
-    std::function<call_fault(int call)> table_fault;
-    std::string fault_prefix;
-    int table_calls = 0;
+    std::function<call_fault(const table_call& call)> table_fault;
+    std::function<call_fault(const std::string& to, const std::string& method)>
+        peer_fault;
+    // Runs every 10 ms.
+    std::function<void()> monitor;
+    // Runs before a write takes effect.
+    std::function<void(const std::string& key)> before_write;
     // Row that a conflicting writer puts in before a write.
     std::function<void()> other_writer;
     bool objects_down = false;
@@ -96,9 +110,6 @@
     bool zones_cut = false;
     bool table_cut_from_a = false;
     milliseconds run_time{200};
-    std::function<void(const std::string& vm, const std::string& method)>
-        on_peer_call;
-
     time_point now{milliseconds(1'000'000)};
     clock_mapping clock{time_point(milliseconds(0)), 1'700'000'000'000};
     std::map<std::string, table_row> rows;
@@ -110,8 +121,10 @@
     controller_hooks hooks_for(fake_vm& vm);
     table table_for(const std::string& zone);
     peer_api peers_for(fake_vm& vm);
+    void add_job_calls(peer_api& api, fake_vm& vm);
     local_scheduler scheduler_for(fake_vm& vm, zone_scheduler_hooks hooks);
-    call_fault next_fault(const std::string& zone, const std::string& key);
+    call_fault
+    next_fault(const std::string& zone, const std::string& key, bool is_write);
     table_write_reply write(const std::vector<table_change>& changes);
     void answer(call_fault fault,
                 time_point deadline,
@@ -128,6 +141,9 @@
 
     std::multimap<time_point, std::function<void()>> events_;
     std::uint64_t random_ = 1;
+    std::map<std::string, int> table_calls_;
+    std::string decoded_value_;
+    configuration decoded_;
 };
 
 // Two availability zones "a" and "b" in two regions, customer "umkhonto", kinds
--- a/tests/control_job_test.cpp
+++ b/tests/control_job_test.cpp
@@ -1,6 +1,8 @@
 // Jobs from the caller to the answer, with a fault at every step.
 #include "control_fakes.hpp"
 
+#include "model/codec.hpp"
+
 #include <string>
 #include <vector>
 
@@ -45,6 +47,213 @@
     return "answer to " + job_id(request) + ": " + request.payload;
 }
 
+job_outcome done_with(const std::string& answer)
+{
+    job_outcome outcome;
+    outcome.state = job_state::done;
+    outcome.answer = answer;
+    return outcome;
+}
+
+// What must hold for every caller, whatever failed. Returns what does not.
+std::string
+violation(fake_world& world, const job_request& request, const caller& by)
+{
+    const auto id = job_id(request);
+    if (by.replies.size() != 1)
+    {
+        return std::to_string(by.replies.size()) + " replies";
+    }
+    const auto& reply = by.replies[0];
+    const auto row = world.row_of(id);
+    if (is_not_run(reply.error.code) && world.runs_of(id) != 0)
+    {
+        return "ran after " + std::string(name_of(reply.error.code));
+    }
+    if (is_not_run(reply.error.code) && row &&
+        row->outcome.state != job_state::not_run)
+    {
+        return "row left after " + std::string(name_of(reply.error.code));
+    }
+    if (!reply.error && reply.item.outcome.answer != answer_to(request))
+    {
+        return "wrong answer " + reply.item.outcome.answer;
+    }
+    if (!reply.error && reply.item.durable && !row)
+    {
+        return "durable without a row";
+    }
+    if (!reply.item.durable && request.kind != "check")
+    {
+        return "accepted without a row";
+    }
+    if (request.kind == "tint" && world.runs_of(id) > 1)
+    {
+        return "ran twice";
+    }
+    return {};
+}
+
+void expect(const std::string& found, const std::string& at)
+{
+    CHECK_TEXT(found.empty(), (found + " at " + at).c_str());
+}
+
+// A row that another entry VM has inserted under the same key.
+void insert_row(fake_world& world, job_request request)
+{
+    job item;
+    item.request = std::move(request);
+    item.idempotent = item.request.kind != "tint";
+    item.zone = "a";
+    item.origin_vm = "a2";
+    item.token = "of another";
+    const auto id = job_id(item.request);
+    const auto text = json_text(to_json(item, world.clock));
+    if (!world.rows.contains("job/" + id))
+    {
+        world.rows["job/" + id] = {"job/" + id, text, 1};
+        world.rows["open/a/" + id] = {"open/a/" + id, id, 1};
+    }
+}
+
+struct accept_case
+{
+    // Calls of the table that fail; 0: every call until the caller is answered.
+    int failing_write;
+    int failing_read;
+    call_fault fault;
+    // Expected codes for "check", "tint" and "glaze".
+    result_code check;
+    result_code tint;
+    result_code glaze;
+};
+
+constexpr int all = 0;
+constexpr int none = -1;
+constexpr auto ok = result_code::ok;
+constexpr auto pending = result_code::pending;
+constexpr auto unavailable = result_code::store_unavailable;
+constexpr auto lost = result_code::answer_lost;
+
+const std::vector<accept_case> accept_cases{
+    {none, none, call_fault::none, ok, ok, ok},
+    {1, none, call_fault::down, ok, unavailable, unavailable},
+    {1, none, call_fault::silent, ok, ok, ok},
+    {1, none, call_fault::answer_lost, ok, ok, ok},
+    {1, none, call_fault::slow, ok, ok, ok},
+    {1, none, call_fault::conflict, ok, ok, ok},
+    {2, none, call_fault::silent, ok, ok, ok},
+    {none, 1, call_fault::down, ok, ok, ok},
+    {none, 1, call_fault::silent, ok, ok, ok},
+    {all, none, call_fault::down, ok, unavailable, unavailable},
+    {all, none, call_fault::silent, lost, lost, lost},
+    {all, none, call_fault::answer_lost, ok, ok, ok},
+    {all, none, call_fault::slow, ok, ok, ok},
+    {all, none, call_fault::conflict, ok, ok, ok},
+    {all, all, call_fault::down, ok, unavailable, unavailable},
+    {all, all, call_fault::silent, lost, lost, lost},
+    {all, all, call_fault::answer_lost, lost, lost, lost},
+    {all, all, call_fault::slow, ok, ok, ok},
+};
+
+result_code expected(const accept_case& each, const std::string& kind)
+{
+    if (kind == "check")
+    {
+        return each.check;
+    }
+    return kind == "tint" ? each.tint : each.glaze;
+}
+
+void run_accept_case(const accept_case& each,
+                     const std::string& kind,
+                     const std::string& vm)
+{
+    fake_world world;
+    world.start(2);
+    const auto request = request_of(kind, "k");
+    world.other_writer = [&]
+    {
+        insert_row(world, request);
+    };
+    caller by;
+    world.table_fault = [&](const table_call& call)
+    {
+        const int failing =
+            call.is_write ? each.failing_write : each.failing_read;
+        const bool hit = call.key.starts_with("job/") && by.replies.empty() &&
+                         (failing == all || failing == call.number);
+        return hit ? each.fault : call_fault::none;
+    };
+    submit(world, vm, request, by);
+    world.run_for(milliseconds(40000));
+    const auto at = kind + " from " + vm + ", writes " +
+                    std::to_string(each.failing_write) + ", reads " +
+                    std::to_string(each.failing_read) + ", " +
+                    name_of(each.fault);
+    expect(violation(world, request, by), at);
+    const auto code = by.replies[0].error.code;
+    CHECK_TEXT(code == expected(each, kind),
+               (at + ": " + std::string(name_of(code))).c_str());
+}
+
+struct link_case
+{
+    const char* method;
+    call_fault fault;
+    // Every message; else the first one only.
+    bool every;
+    result_code code;
+};
+
+const std::vector<link_case> link_cases{
+    {"enqueue", call_fault::silent, false, ok},
+    {"enqueue", call_fault::answer_lost, false, ok},
+    {"enqueue", call_fault::slow, false, ok},
+    {"enqueue", call_fault::twice, false, ok},
+    {"enqueue", call_fault::down, false, ok},
+    {"enqueue", call_fault::silent, true, pending},
+    {"enqueue", call_fault::answer_lost, true, ok},
+    {"enqueue", call_fault::down, true, pending},
+    {"job_done", call_fault::silent, true, ok},
+    {"job_done", call_fault::answer_lost, true, ok},
+    {"job_done", call_fault::slow, true, ok},
+    {"job_done", call_fault::twice, true, ok},
+    {"job_status", call_fault::silent, true, ok},
+    {"job_status", call_fault::twice, true, ok},
+};
+
+void run_link_case(const link_case& each,
+                   const std::string& kind,
+                   bool forgets_ended)
+{
+    fake_world world;
+    world.start(2);
+    world.run_time = milliseconds(2500);
+    auto& scheduler = world.scheduler_of("a");
+    scheduler.scheduler.forgets_ended = forgets_ended;
+    const std::string vm = scheduler.id == "a1" ? "a2" : "a1";
+    int count = 0;
+    world.peer_fault = [&](const std::string&, const std::string& method)
+    {
+        const bool hit = method == each.method && (each.every || ++count == 1);
+        return hit ? each.fault : call_fault::none;
+    };
+    const auto request = request_of(kind, "k");
+    caller by;
+    submit(world, vm, request, by);
+    world.run_for(milliseconds(30000));
+    const auto at = kind + ", " + each.method + " " + name_of(each.fault) +
+                    (forgets_ended ? ", forgets" : "");
+    expect(violation(world, request, by), at);
+    const auto code = by.replies[0].error.code;
+    CHECK_TEXT(code == each.code,
+               (at + ": " + std::string(name_of(code))).c_str());
+    CHECK_TEXT(world.runs_of(job_id(request)) == (code == ok ? 1 : 0),
+               at.c_str());
+}
+
 } // namespace
 
 TEST_GROUP(control_job)
@@ -68,3 +277,375 @@
         CHECK(world.runs_of(job_id(request)) == 1);
     }
 }
+
+// Guards against a wrong "not run", a second run, a job that is accepted
+// without a row, and a caller who is not answered or answered twice, with the
+// table failing at each call of accepting a job.
+TEST(control_job, accepting_survives_every_fault_of_the_table)
+{
+    for (const auto& each : accept_cases)
+    {
+        for (const std::string kind : {"check", "tint", "glaze"})
+        {
+            run_accept_case(each, kind, "a1");
+            run_accept_case(each, kind, "a2");
+        }
+    }
+}
+
+// Guards against the same with messages to and from the scheduler that are
+// lost, late or repeated, and against a job that runs again because its
+// scheduler no longer knows that it has ended.
+TEST(control_job, answers_survive_every_fault_of_the_link)
+{
+    for (const auto& each : link_cases)
+    {
+        for (const std::string kind : {"check", "tint"})
+        {
+            run_link_case(each, kind, false);
+            run_link_case(each, kind, true);
+        }
+    }
+}
+
+// Guards against a caller who waits for ever, or a lost job, when the scheduler
+// is killed before or after it got the job.
+TEST(control_job, survives_the_death_of_the_scheduler)
+{
+    for (const int kill_after : {0, 1, 3, 5, 100})
+    {
+        fake_world fresh;
+        fresh.start(3);
+        fresh.run_time = milliseconds(1000);
+        auto& scheduler = fresh.scheduler_of("a");
+        const std::string vm = scheduler.id == "a1" ? "a2" : "a1";
+        const auto request = request_of("check", "k");
+        caller by;
+        submit(fresh, vm, request, by);
+        fresh.at(milliseconds(kill_after), [&] { fresh.kill(scheduler); });
+        fresh.run_for(milliseconds(8000));
+        CHECK(by.code() == ok);
+        expect(violation(fresh, request, by), std::to_string(kill_after));
+        CHECK(fresh.scheduler_of("a").id != scheduler.id);
+    }
+}
+
+// Guards against a patient job that is lost because its caller stopped waiting
+// before any scheduler could be reached.
+TEST(control_job, hands_over_after_the_caller_has_gone)
+{
+    world.start(2);
+    auto& scheduler = world.scheduler_of("a");
+    const std::string vm = scheduler.id == "a1" ? "a2" : "a1";
+    scheduler.silent = true;
+    const auto request = request_of("glaze", "k");
+    caller by;
+    submit(world, vm, request, by, milliseconds(0));
+    world.run_for(milliseconds(500));
+    CHECK(by.code() == pending);
+    CHECK(world.runs_of("umkhonto/k") == 0);
+    scheduler.silent = false;
+    world.run_for(milliseconds(8000));
+    CHECK(world.runs_of("umkhonto/k") == 1);
+}
+
+// Guards against a second job under one key, and against the answer of one
+// request that goes to another with the same key.
+TEST(control_job, a_repeated_key_is_the_first_job)
+{
+    world.start(2);
+    world.run_time = milliseconds(1000);
+    const auto request = request_of("tint", "k");
+    auto other = request;
+    other.payload = "other payload";
+    caller first;
+    caller again;
+    caller elsewhere;
+    caller different;
+    caller different_elsewhere;
+    caller late;
+    submit(world, "a1", request, first);
+    submit(world, "a1", request, again);
+    submit(world, "a2", request, elsewhere);
+    world.run_for(milliseconds(100));
+    submit(world, "a1", other, different);
+    submit(world, "b1", other, different_elsewhere);
+    world.run_for(milliseconds(3000));
+    submit(world, "b2", request, late);
+    world.run_for(milliseconds(1000));
+    for (const auto* by : {&first, &again, &elsewhere, &late})
+    {
+        CHECK(by->code() == ok);
+        CHECK(by->replies[0].item.outcome.answer == answer_to(request));
+    }
+    CHECK(different.code() == result_code::key_reused);
+    CHECK(different_elsewhere.code() == result_code::key_reused);
+    CHECK(world.runs_of("umkhonto/k") == 1);
+}
+
+// Guards against "not run" for a repeated request whose first try was accepted:
+// its deadline has passed, the VM stops, or the table is down.
+TEST(control_job, a_refusal_looks_for_an_earlier_acceptance)
+{
+    world.start(2);
+    world.run_time = milliseconds(5000);
+    // The fake scheduler that takes over would run a job again.
+    const std::string scheduler = world.scheduler_of("a").id;
+    const std::string other = scheduler == "a1" ? "a2" : "a1";
+    auto request = request_of("tint", "k");
+    caller first;
+    submit(world, scheduler, request, first);
+    world.run_for(milliseconds(100));
+    request.deadline = world.now;
+    caller late;
+    submit(world, other, request, late, milliseconds(100));
+    request.deadline = no_deadline;
+    caller at_outage;
+    world.at(milliseconds(1000),
+             [&]
+             {
+                 world.table_fault = [](const table_call&)
+                 {
+                     return call_fault::down;
+                 };
+                 submit(world, other, request, at_outage, milliseconds(100));
+             });
+    caller at_stop;
+    world.at(milliseconds(1500),
+             [&]
+             {
+                 world.table_fault = nullptr;
+                 world.vm(other).control->begin_stop([] {});
+                 submit(world, other, request, at_stop, milliseconds(100));
+             });
+    world.run_for(milliseconds(8000));
+    CHECK(first.code() == ok);
+    CHECK(late.code() == pending);
+    CHECK(at_outage.code() == pending);
+    CHECK(at_stop.code() == pending);
+    CHECK(world.runs_of("umkhonto/k") == 1);
+}
+
+// Guards against a refusal that leaves a row which a later scheduler runs.
+TEST(control_job, a_refusal_ends_the_row)
+{
+    world.start(2);
+    world.scheduler_of("a").scheduler.refusal = {result_code::queue_full, "q"};
+    const auto request = request_of("tint", "k");
+    caller by;
+    submit(world, "a1", request, by);
+    world.run_for(milliseconds(3000));
+    CHECK(by.code() == result_code::queue_full);
+    CHECK(world.row_of("umkhonto/k")->outcome.state == job_state::not_run);
+    CHECK(!world.rows.contains("open/a/umkhonto/k"));
+}
+
+// Guards against an answer that is cut to what fits a row, and against one that
+// is lost because the object store is down when the job ends.
+TEST(control_job, fetches_a_large_answer_whole)
+{
+    world.start(2);
+    const std::string large(100000, 'x');
+    world.objects["answer"] = large;
+    world.run_time = milliseconds(100000);
+    const auto request = request_of("check", "k");
+    caller by;
+    submit(world, "a1", request, by, milliseconds(60000));
+    world.run_for(milliseconds(100));
+    world.objects_down = true;
+    auto outcome = done_with("");
+    outcome.answer_object = "answer";
+    world.end_job(world.scheduler_of("a"), "umkhonto/k", outcome);
+    world.run_for(milliseconds(5000));
+    CHECK(by.replies.empty());
+    world.objects_down = false;
+    world.run_for(milliseconds(5000));
+    CHECK(by.code() == ok);
+    CHECK(by.replies[0].item.outcome.answer == large);
+}
+
+// Guards against answers that are given to the wrong caller when they arrive
+// out of order, twice, or after a different end.
+TEST(control_job, matches_answers_by_identity)
+{
+    world.start(2);
+    world.run_time = milliseconds(100000);
+    std::vector<caller> callers(10);
+    for (int i = 0; i < 10; ++i)
+    {
+        submit(world,
+               "a1",
+               request_of("check", std::to_string(i)),
+               callers[static_cast<std::size_t>(i)],
+               milliseconds(60000));
+    }
+    world.run_for(milliseconds(100));
+    const auto& handlers = world.vm("a1").handlers;
+    for (int i = 9; i >= 0; --i)
+    {
+        const auto id = "umkhonto/" + std::to_string(i);
+        handlers.on_job_done(id, done_with("answer " + std::to_string(i)));
+        handlers.on_job_done(id, done_with("second answer"));
+        job_outcome running;
+        running.state = job_state::running;
+        handlers.on_job_done("umkhonto/0", running);
+    }
+    for (int i = 0; i < 10; ++i)
+    {
+        const auto& by = callers[static_cast<std::size_t>(i)];
+        CHECK(by.code() == ok);
+        CHECK(by.replies[0].item.outcome.answer ==
+              "answer " + std::to_string(i));
+    }
+}
+
+// Guards against a code that says "not run" for a job that ran.
+TEST(control_job, not_run_stands_only_with_its_state)
+{
+    world.start(1);
+    world.run_time = milliseconds(100000);
+    caller by;
+    submit(world, "a1", request_of("check", "k"), by);
+    world.run_for(milliseconds(100));
+    job_outcome outcome;
+    outcome.state = job_state::failed;
+    outcome.code = result_code::retries_exhausted;
+    world.end_job(world.scheduler_of("a"), "umkhonto/k", outcome);
+    CHECK(by.code() == result_code::job_failed);
+}
+
+// Guards against memory that grows with callers, and against "not run" for a
+// caller whose job was accepted.
+TEST(control_job, bounds_the_number_of_callers)
+{
+    world.start(1);
+    world.run_time = milliseconds(100000);
+    std::vector<caller> callers(60);
+    for (std::size_t i = 0; i < callers.size(); ++i)
+    {
+        submit(world,
+               "a1",
+               request_of("check", std::to_string(i)),
+               callers[i],
+               milliseconds(60000));
+    }
+    world.run_for(milliseconds(100));
+    std::size_t shed = 0;
+    for (std::size_t i = 0; i < callers.size(); ++i)
+    {
+        shed += callers[i].code() == result_code::shed ? 1 : 0;
+    }
+    CHECK(shed == 10);
+}
+
+// Guards against a cancellation that is lost while the scheduler changes.
+TEST(control_job, resends_a_cancellation)
+{
+    world.start(3);
+    world.run_time = milliseconds(100000);
+    const auto request = request_of("check", "k");
+    auto& scheduler = world.scheduler_of("a");
+    const std::string vm = scheduler.id == "a1" ? "a2" : "a1";
+    caller by;
+    submit(world, vm, request, by);
+    world.run_for(milliseconds(100));
+    world.kill(scheduler);
+    caller cancelling;
+    world.vm(vm).control->cancel_job("umkhonto", "k", cancelling.done());
+    world.run_for(milliseconds(6000));
+    const auto& next = world.scheduler_of("a").scheduler;
+    CHECK(!next.cancelled.empty());
+    CHECK(cancelling.code() == pending);
+    caller unknown;
+    world.vm(vm).control->cancel_job("umkhonto", "none", unknown.done());
+    world.run_for(milliseconds(100));
+    CHECK(unknown.code() == result_code::not_found);
+}
+
+// Guards against an isolated availability zone that stops serving urgent
+// idempotent work, or that takes work it must not.
+TEST(control_job, an_isolated_zone_serves_urgent_idempotent_work)
+{
+    world.start(2);
+    world.zones_cut = true;
+    world.table_fault = [](const table_call& call)
+    {
+        return call.zone == "a" ? call_fault::down : call_fault::none;
+    };
+    world.run_for(milliseconds(10000));
+    for (const std::string kind : {"check", "tint", "glaze"})
+    {
+        caller by;
+        const auto request = request_of(kind, "k-" + kind);
+        submit(world, "a1", request, by);
+        world.run_for(milliseconds(2000));
+        expect(violation(world, request, by), kind);
+        CHECK(by.code() == (kind == "check" ? ok : unavailable));
+    }
+}
+
+// Guards against a planned stop that drops callers, takes new work, keeps the
+// server leases or never ends.
+TEST(control_job, a_planned_stop_lets_callers_get_their_answers)
+{
+    for (const bool stop_scheduler : {false, true})
+    {
+        fake_world fresh;
+        fresh.start(2);
+        fresh.run_time = milliseconds(3000);
+        const std::string scheduler = fresh.scheduler_of("a").id;
+        const std::string other = scheduler == "a1" ? "a2" : "a1";
+        const auto vm = stop_scheduler ? scheduler : other;
+        caller by;
+        const auto request = request_of("check", "k");
+        submit(fresh, vm, request, by);
+        fresh.run_for(milliseconds(100));
+        int stopped = 0;
+        fresh.vm(vm).control->begin_stop([&] { ++stopped; });
+        caller refused;
+        submit(fresh, vm, request_of("check", "new"), refused);
+        fresh.run_for(milliseconds(500));
+        CHECK(refused.code() == result_code::vm_stopping);
+        CHECK(!fresh.vm(vm).scheduler.active);
+        CHECK(fresh.scheduler_of("a").id != vm);
+        CHECK(stopped == 0);
+        fresh.run_for(milliseconds(9000));
+        CHECK(by.code() == ok);
+        CHECK(stopped == 1);
+    }
+}
+
+// Guards against a planned stop that waits for ever for a job that never ends.
+TEST(control_job, a_planned_stop_ends_at_the_limit)
+{
+    world.start(2);
+    world.run_time = milliseconds(100000);
+    caller by;
+    submit(world, "a1", request_of("check", "k"), by, milliseconds(90000));
+    world.run_for(milliseconds(100));
+    int stopped = 0;
+    world.vm("a1").control->begin_stop([&] { ++stopped; });
+    world.run_for(milliseconds(29000));
+    CHECK(stopped == 0);
+    world.run_for(milliseconds(2000));
+    CHECK(stopped == 1);
+    CHECK(by.code() == pending);
+}
+
+// Guards against completions that use a controller which is gone.
+TEST(control_job, late_completions_find_no_controller)
+{
+    world.start(2);
+    world.table_fault = [](const table_call&)
+    {
+        return call_fault::slow;
+    };
+    caller by;
+    submit(world, "a1", request_of("check", "k"), by);
+    world.vm("a1").control->set_zone(
+        "a", zone_state::out, "op", [](const change_reply&) {});
+    world.run_for(milliseconds(10));
+    world.kill(world.vm("a1"));
+    world.run_for(milliseconds(5000));
+    CHECK(by.replies.empty());
+}
