Take a free place before preempting for a patient job

Cause: a job with a guarantee preempted a borrower even where another place was free, because every place in the guarantee, also one with victims, was sought before a free place outside it.

Change: a patient job that can checkpoint takes the tighter of the free places in and outside its guarantee, and preempts only if there is none.

--- a/src/policy/decision_round.cpp
+++ b/src/policy/decision_round.cpp
@@ -392,14 +392,24 @@
     {
         return plan;
     }
-    if (need.accelerators > 0 && need.accelerators <= largest_held)
+    const bool entitled =
+        need.accelerators > 0 && need.accelerators <= largest_held;
+    if (auto plan = free_plan(need, entitled, search))
+    {
+        return plan;
+    }
+    if (entitled)
     {
-        if (auto plan = plan_in_guarantee(need, search))
+        if (auto plan = reclaiming_plan(need, search))
+        {
+            return plan;
+        }
+        if (auto plan = search.borrowed(need))
         {
             return plan;
         }
     }
-    auto plan = search.borrowed(need);
+    auto plan = search.preempted(need);
     if (!plan)
     {
         filter_->note_failure(need);
@@ -407,10 +417,33 @@
     return plan;
 }
 
-std::optional<job_plan> decision_round::plan_in_guarantee(const job_need& need,
-                                                          planner& search)
+// A patient job that can checkpoint takes a free place outside its guarantee
+// before a task is preempted for it, and the tighter of the two places, so that
+// large shapes stay open: if it is preempted later, it loses little. Other
+// jobs stay in their guarantee.
+std::optional<job_plan>
+decision_round::free_plan(const job_need& need, bool entitled, planner& search)
+{
+    const bool movable = !need.urgent && need.can_checkpoint;
+    if (entitled && !movable)
+    {
+        return search.in_guarantee(need);
+    }
+    auto mine = entitled ? search.in_guarantee(need) : std::nullopt;
+    auto other = search.borrowed(need);
+    if (!mine || !other)
+    {
+        return mine ? search.in_guarantee(need) : other;
+    }
+    return search.room_left(*other) < search.room_left(*mine)
+               ? other
+               : search.in_guarantee(need);
+}
+
+std::optional<job_plan> decision_round::reclaiming_plan(const job_need& need,
+                                                        planner& search)
 {
-    if (auto plan = search.in_guarantee(need))
+    if (auto plan = search.reclaimed(need))
     {
         return plan;
     }
@@ -419,7 +452,11 @@
         return std::nullopt;
     }
     planner again(zone_.servers, zone_.book, zone_.limits(), now_);
-    return again.in_guarantee(need);
+    if (auto plan = again.in_guarantee(need))
+    {
+        return plan;
+    }
+    return again.reclaimed(need);
 }
 
 // Capacity that urgent jobs have claimed must not delay a guarantee. Once a
--- a/src/policy/decision_round.hpp
+++ b/src/policy/decision_round.hpp
@@ -56,8 +56,10 @@
     void block(lane& waiting, wait_reason reason);
     std::optional<wait_reason> try_job(job_entry& entry);
     std::optional<job_plan> plan_for(const job_entry& entry);
-    std::optional<job_plan> plan_in_guarantee(const job_need& need,
-                                              planner& search);
+    std::optional<job_plan>
+    free_plan(const job_need& need, bool entitled, planner& search);
+    std::optional<job_plan> reclaiming_plan(const job_need& need,
+                                            planner& search);
     bool drop_borrowed_claims();
     bool fits_now(const part_list& parts) const;
     void carry_out(job_entry& entry, job_plan plan);
--- a/src/policy/planner.cpp
+++ b/src/policy/planner.cpp
@@ -477,24 +477,28 @@
     return std::nullopt;
 }
 
-std::optional<job_plan> planner::in_guarantee(const job_need& need)
+std::optional<job_plan> planner::in_own_guarantee(const job_need& need,
+                                                  const finder& find)
 {
     book_.discard();
     if (need.accelerators == 0 || !book_.has_blocks(need.customer))
     {
         return std::nullopt;
     }
-    for (const auto& find : {free_finder(), victim_finder(reclaim_cost(now_))})
-    {
-        std::vector<candidate> found;
-        in_own_blocks(need, find, found);
-        in_new_blocks(need, find, found);
-        if (auto plan = first_kept(std::move(found)))
-        {
-            return plan;
-        }
-    }
-    return std::nullopt;
+    std::vector<candidate> found;
+    in_own_blocks(need, find, found);
+    in_new_blocks(need, find, found);
+    return first_kept(std::move(found));
+}
+
+std::optional<job_plan> planner::in_guarantee(const job_need& need)
+{
+    return in_own_guarantee(need, free_finder());
+}
+
+std::optional<job_plan> planner::reclaimed(const job_need& need)
+{
+    return in_own_guarantee(need, victim_finder(reclaim_cost(now_)));
 }
 
 std::optional<job_plan> planner::probe(const job_need& need)
@@ -736,8 +740,13 @@
     return best;
 }
 
-std::optional<job_plan> planner::with_victims(const job_need& need)
+std::optional<job_plan> planner::preempted(const job_need& need)
 {
+    book_.discard();
+    if (!need.urgent)
+    {
+        return std::nullopt;
+    }
     const auto find = victim_finder(urgent_cost(now_));
     auto best = need.accelerators <= limits_.largest_server
                     ? victims_on_any_server(need, find)
@@ -771,11 +780,17 @@
             return plan;
         }
     }
-    if (!need.urgent)
+    return std::nullopt;
+}
+
+int planner::room_left(const job_plan& plan) const
+{
+    int left = 0;
+    for (const auto& share : plan.parts)
     {
-        return std::nullopt;
+        left += free_room(servers_.at(share.server)) - share.accelerators;
     }
-    return with_victims(need);
+    return left;
 }
 
 } // namespace poplarramp
--- a/src/policy/planner.hpp
+++ b/src/policy/planner.hpp
@@ -26,6 +26,7 @@
     bool pinned = false;
     bool urgent = false;
     bool idempotent = true;
+    bool can_checkpoint = false;
     // When the job is expected to end if it starts now, for backfill.
     time_point expected_end = no_deadline;
 };
@@ -55,11 +56,18 @@
 
     // Borrowed place on a server that waits for a probe task.
     std::optional<job_plan> probe(const job_need& need);
-    // Place in a block of the customer, at the lowest preemption cost. After a
-    // plan was found the caller carries it out and calls `accept` of the book.
+    // Free place in a block of the customer. After a plan was found the caller
+    // carries it out and calls `accept` of the book.
     std::optional<job_plan> in_guarantee(const job_need& need);
-    // Place outside the guarantee, without victims or, for urgent jobs, with.
+    // Place in a block of the customer, at the lowest preemption cost.
+    std::optional<job_plan> reclaimed(const job_need& need);
+    // Free place outside the guarantee.
     std::optional<job_plan> borrowed(const job_need& need);
+    // Place outside the guarantee with victims; urgent jobs only.
+    std::optional<job_plan> preempted(const job_need& need);
+
+    // Free accelerators that remain on the servers of a plan without victims.
+    int room_left(const job_plan& plan) const;
 
 private:
     struct finder;
@@ -93,6 +101,8 @@
                   const std::vector<int>& indexes,
                   const finder& find,
                   std::vector<candidate>& found) const;
+    std::optional<job_plan> in_own_guarantee(const job_need& need,
+                                             const finder& find);
     std::optional<job_plan> first_kept(std::vector<candidate> found);
 
     bool open_to(const job_need& need, int server, bool urgent_first) const;
@@ -103,7 +113,6 @@
     std::optional<part_list> pinned_server(const job_need& need,
                                            bool urgent_first);
     std::optional<part_list> pinned_slot(const job_need& need);
-    std::optional<job_plan> with_victims(const job_need& need);
     int room_with_victims(const job_need& need, int server) const;
     std::optional<victim_plan> victims_on_any_server(const job_need& need,
                                                      const finder& find) const;
--- a/src/policy/zone_state.cpp
+++ b/src/policy/zone_state.cpp
@@ -192,6 +192,7 @@
     need.pinned = is_pinned(entry.item);
     need.urgent = entry.item.urgency_class == urgency::urgent;
     need.idempotent = entry.item.idempotent;
+    need.can_checkpoint = entry.item.can_checkpoint;
     need.expected_end = now + run_estimate(entry, long_run);
     return need;
 }
--- a/tests/inner_protocol_test.cpp
+++ b/tests/inner_protocol_test.cpp
@@ -277,8 +277,10 @@
     CHECK(beats.empty() && jobs.empty() && configs.empty());
     CHECK(closings.empty() && ids.empty());
     http_response response;
-    server({"GET", inner_target, "", ""},
-           [&](const http_response& given) { response = given; });
+    http_request wrong;
+    wrong.method = "GET";
+    wrong.target = inner_target;
+    server(wrong, [&](const http_response& given) { response = given; });
     CHECK(response.status == 405);
 }
 
