--- a/src/policy/decision_round.cpp
+++ b/src/policy/decision_round.cpp
@@ -56,8 +56,8 @@
     for (const auto number : zone_.latest_starts.take_due(past))
     {
         auto& entry = zone_.jobs.at(number);
-        const auto latest =
-            entry.item.request.deadline - zone_.run_estimate(entry, short_run);
+        const auto latest = entry.item.request.deadline -
+                            zone_.shortest_run(entry.item.request);
         if (latest >= now_)
         {
             zone_.latest_starts.set(number, latest);
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -82,8 +82,7 @@
     {
         return refused;
     }
-    const auto shortest = runs.estimate(
-        item.request.customer, item.request.kind, short_run, item.expected_run);
+    const auto shortest = shortest_run(item.request);
     const bool late = item.request.deadline != no_deadline &&
                       item.request.deadline - shortest < now;
     if (late && item.attempts.empty())
--- a/src/policy/zone_state.cpp
+++ b/src/policy/zone_state.cpp
@@ -183,6 +183,15 @@
                          entry.item.expected_run);
 }
 
+// Declared run times are off by a factor of three in both directions, so only
+// learned ones may refuse a job.
+milliseconds zone_state::shortest_run(const job_request& request) const
+{
+    constexpr milliseconds not_learned{0};
+    return runs.estimate(
+        request.customer, request.kind, short_run, not_learned);
+}
+
 job_need zone_state::need_of(const job_entry& entry, time_point now) const
 {
     job_need need;
@@ -222,7 +231,7 @@
     if (!entry.was_placed)
     {
         latest_starts.set(entry.number,
-                          shifted(deadline, -run_estimate(entry, short_run)));
+                          shifted(deadline, -shortest_run(entry.item.request)));
     }
     if (entry.item.urgency_class == urgency::patient)
     {
--- a/src/policy/zone_state.hpp
+++ b/src/policy/zone_state.hpp
@@ -128,6 +128,8 @@
     void enqueue(job_entry& entry);
     void dequeue(const job_entry& entry);
     milliseconds run_estimate(const job_entry& entry, double quantile) const;
+    // Time that nearly every run of the kind takes; 0 while none is learned.
+    milliseconds shortest_run(const job_request& request) const;
     job_need need_of(const job_entry& entry, time_point now) const;
 
     // Places. `claim` takes a plan whose parts are not yet free, `place` one
