--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -189,7 +189,9 @@
     log_line(log_level::warning,
              "entry",
              "refused operator call without a valid token",
-             {{"method", item.request.method}, {"path", item.request.target}});
+             {{"peer", item.request.peer},
+              {"method", item.request.method},
+              {"path", item.request.target}});
     item.respond(json_response({result_code::unauthorized,
                                 "the call needs the token of an operator"}));
     return false;
--- a/tests/inner_protocol_test.cpp
+++ b/tests/inner_protocol_test.cpp
@@ -277,8 +277,10 @@
     CHECK(beats.empty() && jobs.empty() && configs.empty());
     CHECK(closings.empty() && ids.empty());
     http_response response;
-    server({"GET", inner_target, "", ""},
-           [&](const http_response& given) { response = given; });
+    http_request read;
+    read.method = "GET";
+    read.target = inner_target;
+    server(read, [&](const http_response& given) { response = given; });
     CHECK(response.status == 405);
 }
 
