Give the scheduler only the backend servers of its availability zone

Cause: a trial with the real zone scheduler and eight fake backend servers left jobs of one zone pending for 30 s. The member list went to the scheduler unfiltered, so that each zone's scheduler claimed the servers of the other zone and its owner found the leases held. Ruled out: the lease code, which behaved as specified. The test failed before the change.

--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -103,7 +103,7 @@
     {
         if (member.role == vm_role::backend_server)
         {
-            backend_servers_.push_back(member);
+            add_backend_server(member);
             continue;
         }
         if (member.id == vm_)
@@ -124,6 +124,14 @@
     }
 }
 
+void membership::add_backend_server(const vm_member& member)
+{
+    if (member.zone == zone_)
+    {
+        backend_servers_.push_back(member);
+    }
+}
+
 bool membership::on_heartbeat(const heartbeat& message, time_point now)
 {
     if (message.vm == vm_ || message.vm.empty())
--- a/src/control/membership.hpp
+++ b/src/control/membership.hpp
@@ -99,12 +99,14 @@
     bool knows_peers() const;
     peer_state state_of(const entry_peer& peer, time_point now) const;
     std::vector<entry_peer> peers() const;
+    // Backend servers of the own availability zone.
     const std::vector<vm_member>& backend_servers() const;
 
     // Drops entry VMs that are not listed and have been silent for long.
     void forget_gone(time_point now);
 
 private:
+    void add_backend_server(const vm_member& member);
     bool is_live(const entry_peer& peer, time_point now) const;
     std::optional<scheduler_place> named_scheduler(std::string_view zone,
                                                    time_point now) const;
--- a/tests/control_config_test.cpp
+++ b/tests/control_config_test.cpp
@@ -697,6 +697,18 @@
     CHECK(!view.scheduler_of("b", now + milliseconds(6000)));
 }
 
+// Guards against a scheduler that claims the backend servers of another
+// availability zone and so takes them from their own.
+TEST(control_membership, gives_the_backend_servers_of_the_own_zone)
+{
+    const std::vector<vm_member> list{
+        {"s1", vm_role::backend_server, "a", "r1", "s1:1", false},
+        {"s2", vm_role::backend_server, "b", "r1", "s2:1", false}};
+    view.set_list(list);
+    CHECK(view.backend_servers().size() == 1);
+    CHECK(view.backend_servers()[0].id == "s1");
+}
+
 // Guards against an operator who waits for VMs that have left, or is not told
 // of one that is only listed.
 TEST(control_membership, knows_who_must_confirm)
