--- a/tests/zone_fakes.cpp
+++ b/tests/zone_fakes.cpp
@@ -779,6 +779,7 @@
     if (was_running)
     {
         executions[found->second.execution].how = how;
+        executions[found->second.execution].ended = now_;
     }
     found->second.final_event = server.next_event;
     emit(server, found->second);
@@ -812,6 +813,7 @@
         if (item.server == server.id && !item.how)
         {
             item.killed = true;
+            item.ended = now_;
         }
     }
     server.tasks.clear();
--- a/tests/zone_fakes.hpp
+++ b/tests/zone_fakes.hpp
@@ -52,6 +52,7 @@
     time_point start{};
     std::optional<task_state> how;
     bool killed = false;
+    time_point ended = no_deadline;
 };
 
 class world;
