--- a/src/control/zone_attempts.cpp
+++ b/src/control/zone_attempts.cpp
@@ -251,7 +251,7 @@
     if (entry->cancel_requested)
     {
         withdraw(entry);
-        conclude(entry, {result_code::cancelled, "cancelled before it ran"});
+        conclude(entry, {result_code::cancelled, "cancelled in the queue"});
         return;
     }
     requeue(entry, fault);
--- a/src/control/zone_core.cpp
+++ b/src/control/zone_core.cpp
@@ -234,6 +234,9 @@
         outcome.state = entry->ran ? job_state::failed : job_state::unknown;
         outcome.code =
             entry->ran ? result_code::job_failed : result_code::outcome_unknown;
+    }
+    if (did_run)
+    {
         outcome.reason += "; an earlier attempt ";
         outcome.reason += entry->ran ? "ran" : "may have run";
     }
--- a/src/control/zone_queue.cpp
+++ b/src/control/zone_queue.cpp
@@ -58,7 +58,7 @@
 {
     if (entry->cancel_requested)
     {
-        conclude(entry, {result_code::cancelled, "cancelled before it ran"});
+        conclude(entry, {result_code::cancelled, "cancelled in the queue"});
         return {};
     }
     entry->phase = job_phase::queued;
@@ -103,7 +103,7 @@
     }
     ++entry->serial;
     withdraw(entry);
-    conclude(entry, {result_code::cancelled, "cancelled before it ran"});
+    conclude(entry, {result_code::cancelled, "cancelled in the queue"});
     decide();
     return {};
 }
--- a/tests/zone_fakes.cpp
+++ b/tests/zone_fakes.cpp
@@ -793,6 +793,10 @@
 
 void world::restart(fake_server& server)
 {
+    if (server.alive || server.gone)
+    {
+        return;
+    }
     server.alive = true;
     ++server.incarnation;
     server.owner.clear();
--- a/tests/zone_fakes.hpp
+++ b/tests/zone_fakes.hpp
@@ -85,6 +85,7 @@
     std::string rack;
     int accelerators = 8;
     bool alive = true;
+    bool gone = false;
     bool listed = true;
     bool leaving = false;
     bool fails_tasks = false;
--- a/tests/zone_fault_matrix_test.cpp
+++ b/tests/zone_fault_matrix_test.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -25,6 +25,7 @@
 constexpr milliseconds suspected_after{1500};
 constexpr milliseconds handover_at{14000};
 constexpr milliseconds whole_time{90000};
+constexpr unsigned seeds = 3000;
 
 enum class step
 {
@@ -88,6 +89,11 @@
     {
         fault = &kind;
         watch(wanted);
+        go(wanted);
+    }
+
+    void go(step wanted)
+    {
         submit_jobs(wanted);
         for (milliseconds time{0}; time < whole_time; time += resend)
         {
@@ -97,6 +103,38 @@
         all.run(whole_time);
     }
 
+    // Two faults of the seed strike at moments of the seed.
+    void play_pair(unsigned seed)
+    {
+        std::minstd_rand random(seed);
+        const auto pick = [&random](std::size_t below)
+        {
+            return random() % below;
+        };
+        target = "s" + std::to_string(pick(4));
+        const milliseconds first(pick(16000));
+        const milliseconds second = first + milliseconds(pick(4000));
+        for (const auto when : {first, second})
+        {
+            pair.push_back(pick_fault(pick));
+            all.after(when,
+                      [this, kind = pair.back()]
+                      {
+                          struck_at = struck ? struck_at : all.now();
+                          struck = true;
+                          kind->strike(*this);
+                      });
+        }
+        all.fault_of = [this](const call_info& info)
+        {
+            return call_fault_of(info);
+        };
+        go(step::run);
+    }
+
+    static const fault_kind*
+    pick_fault(const std::function<std::size_t(std::size_t)>& pick);
+
     void submit(milliseconds when, job item, milliseconds run_time)
     {
         item.request.payload = std::to_string(run_time.count());
@@ -320,6 +358,7 @@
     fakes::process* b = nullptr;
     fakes::process* current = nullptr;
     const fault_kind* fault = nullptr;
+    std::vector<const fault_kind*> pair;
     std::vector<job> jobs;
     std::set<std::string> cancelled;
     std::string target = "s0";
@@ -332,6 +371,7 @@
     bool cut_lease = false;
     bool split = false;
     int sent = 0;
+    int closings = 0;
     time_point closed_at = no_deadline;
     time_point reopened_at = no_deadline;
     time_point leaving_at = no_deadline;
@@ -346,6 +386,7 @@
 void kill_for_good(scenario& play)
 {
     play.all.kill(play.server());
+    play.server().gone = true;
     play.all.after(fault_time,
                    [&play]
                    {
@@ -405,13 +446,20 @@
 
 void zone_out(scenario& play)
 {
+    if (play.closings++ == 0)
+    {
+        play.closed_at = play.all.now();
+    }
+    play.reopened_at = no_deadline;
     play.all.set_open(false);
-    play.closed_at = play.all.now();
     play.all.after(fault_time,
                    [&play]
                    {
-                       play.reopened_at = play.all.now();
-                       play.all.set_open(true);
+                       if (--play.closings == 0)
+                       {
+                           play.reopened_at = play.all.now();
+                           play.all.set_open(true);
+                       }
                    });
 }
 
@@ -492,6 +540,12 @@
      }},
 }};
 
+const fault_kind*
+scenario::pick_fault(const std::function<std::size_t(std::size_t)>& pick)
+{
+    return &faults.at(pick(faults.size()));
+}
+
 // Adds one line for each broken promise.
 class checker
 {
@@ -537,7 +591,7 @@
         }
         const bool not_run = state == job_state::not_run ||
                              (state == job_state::cancelled &&
-                              row->outcome.reason == "cancelled before it ran");
+                              row->outcome.reason == "cancelled in the queue");
         if (not_run && play_.all.executions_of(id) > 0)
         {
             fail(id + " ran, but " + std::string(name_of(state)));
@@ -711,3 +765,23 @@
     }
     STRCMP_EQUAL("", broken.c_str());
 }
+
+// Guards against mechanisms that hold alone but not when a second fault strikes
+// while the first is still there.
+TEST(zone_fault_matrix, promises_hold_for_two_faults_at_any_moment)
+{
+    std::string broken;
+    for (unsigned seed = 1; seed <= seeds; ++seed)
+    {
+        scenario play;
+        play.play_pair(seed);
+        const auto found = checker(play).broken();
+        if (!found.empty())
+        {
+            broken += "seed " + std::to_string(seed) + ", " +
+                      play.pair[0]->name + " and " + play.pair[1]->name +
+                      ":\n" + found;
+        }
+    }
+    STRCMP_EQUAL("", broken.c_str());
+}
--- a/tests/zone_scheduler_test.cpp
+++ b/tests/zone_scheduler_test.cpp
@@ -82,11 +82,11 @@
 // Guards against a gang of which a part runs.
 TEST(zone_scheduler, commits_only_a_gang_that_is_prepared_whole)
 {
-    zone.fail("prepare", call_fault::refused, 3, "s1");
+    zone.fail("prepare", call_fault::lost_before, 3, "s1");
     zone.accept(make_job("1", 12, false), zone.a);
-    zone.run(300);
+    zone.run(2900);
     CHECK_EQUAL(0, zone.calls("commit"));
-    zone.run(8000);
+    zone.run(9000);
     CHECK_EQUAL(2, zone.all.executions_of("bead/1"));
     CHECK(zone.state("bead/1") == job_state::done);
 }
@@ -108,6 +108,22 @@
     }
 }
 
+// Guards against the commit of a gang on a server that leaves after the
+// prepare.
+TEST(zone_scheduler, commits_nothing_on_leaving_server)
+{
+    zone.fail("prepare", call_fault::lost_after, 1, "s1");
+    zone.accept(make_job("1", 12, true), zone.a);
+    zone.all.servers[0].leaving = true;
+    zone.all.publish_members();
+    zone.run(3000);
+    CHECK_EQUAL(0, zone.calls("commit"));
+    zone.all.servers[0].leaving = false;
+    zone.all.publish_members();
+    zone.run(3000);
+    CHECK(zone.state("bead/1") == job_state::done);
+}
+
 // Guards against a start in an availability zone that was taken out while the
 // view of the configuration was old, and against one that waits for ever.
 TEST(zone_scheduler, waits_for_recent_configuration_before_start)
@@ -124,6 +140,7 @@
     zone.run(1000);
     zone.all.thaw(*zone.a);
     zone.accept(make_job("2", 1, true), zone.a);
+    zone.run(300);
     CHECK_EQUAL(1, zone.calls("start"));
     zone.all.set_open(false);
     zone.run(2000);
--- a/tests/zone_takeover_test.cpp
+++ b/tests/zone_takeover_test.cpp
@@ -52,6 +52,20 @@
     CHECK(zone.state("bead/1") == job_state::done);
 }
 
+// Guards against a cancellation that is forgotten when the job turns out to
+// run.
+TEST(zone_takeover, stops_cancelled_job_once_it_is_adopted)
+{
+    const auto item = zone.accept(make_job("1", 1, true), zone.a, 60000);
+    zone.run(500);
+    zone.fail_over();
+    zone.b->zone->enqueue(item);
+    CHECK(!zone.b->zone->cancel("bead/1"));
+    zone.run(6000);
+    CHECK(zone.state("bead/1") == job_state::cancelled);
+    CHECK(zone.all.executions[0].how == task_state::stopped);
+}
+
 // Guards against "unknown" for an attempt that is proved not to have run, and
 // against a run that is not proved impossible.
 TEST(zone_takeover, settles_recorded_attempt_by_claim)
