--- a/src/control/job_rows.cpp
+++ b/src/control/job_rows.cpp
@@ -56,14 +56,18 @@
 
 struct job_rows::finish_call
 {
-    job item;
-    std::function<void()> delayed;
-    std::function<void(const job&)> done;
+    final_write what;
     milliseconds backoff = first_finish_retry;
     time_point next_try{};
     bool in_flight = false;
 };
 
+bool job_rows::may_have_run(const finish_call& call, const job& row)
+{
+    const auto open = open_attempts(row);
+    return !open.empty() && open.front().number > call.what.not_run_up_to;
+}
+
 std::vector<attempt_record> open_attempts(const job& item)
 {
     const int last = last_attempt(item);
@@ -238,19 +242,15 @@
     call->done(result, view);
 }
 
-void job_rows::finish(const job& item,
-                      std::function<void()> delayed,
-                      std::function<void(const job&)> done)
+void job_rows::finish(final_write what)
 {
-    auto& call = finishing_[job_id(item.request)];
+    auto& call = finishing_[job_id(what.item.request)];
     if (call)
     {
         return;
     }
     call = std::make_shared<finish_call>();
-    call->item = item;
-    call->delayed = std::move(delayed);
-    call->done = std::move(done);
+    call->what = std::move(what);
     if (writes_in_flight_ < most_finish_calls)
     {
         const auto started = call;
@@ -262,7 +262,7 @@
 {
     call->in_flight = true;
     ++writes_in_flight_;
-    read(job_id(call->item.request),
+    read(job_id(call->what.item.request),
          [this, call](const job_row_view& view)
          { on_finish_read(call, view); });
 }
@@ -280,7 +280,14 @@
         end_finish(call, *view.item);
         return;
     }
-    store_.read(open_key(job_id(call->item.request)),
+    if (call->what.did_not_run && view.item && may_have_run(*call, *view.item))
+    {
+        --writes_in_flight_;
+        finishing_.erase(job_id(call->what.item.request));
+        call->what.foreign_attempt(*view.item);
+        return;
+    }
+    store_.read(open_key(job_id(call->what.item.request)),
                 now_() + table_deadline,
                 [this, alive = std::weak_ptr<char>(alive_), call, view](
                     const table_read_reply& reply)
@@ -302,10 +309,10 @@
                            const job_row_view& view,
                            std::uint64_t open_version)
 {
-    job final_row = view.item ? *view.item : call->item;
-    final_row.outcome = call->item.outcome;
+    job final_row = view.item ? *view.item : call->what.item;
+    final_row.outcome = call->what.item.outcome;
     final_row.durable = true;
-    const auto id = job_id(call->item.request);
+    const auto id = job_id(call->what.item.request);
     std::vector<table_change> changes{{job_key(id),
                                        json_text(to_json(final_row, clock_)),
                                        view.version,
@@ -338,7 +345,7 @@
     --writes_in_flight_;
     call->next_try = now_() + call->backoff;
     call->backoff = std::min(call->backoff * 2, longest_finish_retry);
-    if (auto delayed = std::exchange(call->delayed, nullptr))
+    if (auto delayed = std::exchange(call->what.delayed, nullptr))
     {
         delayed();
     }
@@ -348,8 +355,8 @@
                           const job& item)
 {
     --writes_in_flight_;
-    finishing_.erase(job_id(call->item.request));
-    call->done(item);
+    finishing_.erase(job_id(call->what.item.request));
+    call->what.done(item);
 }
 
 void job_rows::scan(
--- a/src/control/server_leases.cpp
+++ b/src/control/server_leases.cpp
@@ -77,6 +77,7 @@
     for (auto& [id, lease] : servers_)
     {
         lease.unclaimed_since = hooks_.now();
+        lease.token.epoch = 0;
     }
     tick();
 }
@@ -230,6 +231,7 @@
     if (lease.phase == lease_phase::releasing && now >= lease.lease_end)
     {
         lease.phase = lease_phase::unclaimed;
+        lease.token.epoch = 0;
         lease.unclaimed_since = now;
     }
     if (lease.phase == lease_phase::unclaimed && active_ && lease.listed &&
@@ -298,6 +300,11 @@
                             const claim_reply& reply)
 {
     lease.phase = lease_phase::held;
+    lease.first_grant = lease.token.epoch == 0;
+    const bool restarted = lease.token.incarnation != reply.token.incarnation;
+    const bool next_epoch = reply.token.epoch == lease.token.epoch + 1;
+    lease.other_owner_before =
+        lease.contested || lease.first_grant || (!restarted && !next_epoch);
     lease.token = reply.token;
     lease.lease_end = sent + server_lease_time;
     lease.contested = false;
@@ -426,6 +433,7 @@
             if (!error || error.code == result_code::stale_epoch)
             {
                 found->second.phase = lease_phase::unclaimed;
+                found->second.token.epoch = 0;
                 found->second.unclaimed_since = hooks_.now();
                 report_released();
                 return;
--- a/src/control/task_run.cpp
+++ b/src/control/task_run.cpp
@@ -549,6 +549,7 @@
     const bool same_server = part.token.incarnation == token.incarnation;
     const bool may_have_run =
         part.start_sent && (!same_server || part.state == part_state::running);
+    forgotten_ = forgotten_ || (may_have_run && same_server);
     part.state = may_have_run ? part_state::lost : part_state::never;
 }
 
@@ -653,11 +654,9 @@
                        });
 }
 
-bool task_run::start_sent() const
+bool task_run::forgotten() const
 {
-    return std::any_of(parts_.begin(),
-                       parts_.end(),
-                       [](const run_part& part) { return part.start_sent; });
+    return forgotten_;
 }
 
 run_end task_run::end() const
--- a/src/control/task_run.hpp
+++ b/src/control/task_run.hpp
@@ -120,7 +120,9 @@
 
     int attempt() const;
     bool all_started() const;
-    bool start_sent() const;
+    // A part that ran was unknown to its server, which had not restarted:
+    // another scheduler has handled its end.
+    bool forgotten() const;
     run_end end() const;
     // Why a part failed or was refused, and its server; empty if none.
     const std::string& fault_server() const;
@@ -163,6 +165,7 @@
     std::vector<run_part> parts_;
     bool committed_ = false;
     bool stopping_ = false;
+    bool forgotten_ = false;
     bool checkpoint_ = false;
     time_point checkpoint_deadline_{};
     time_point commit_deadline_{};
--- a/src/control/zone_core.cpp
+++ b/src/control/zone_core.cpp
@@ -70,6 +70,8 @@
     log_line(log_level::info, "sched", "activated", {{"zone", zone}});
     active = true;
     activated_at = now();
+    last_foreign_claim = activated_at;
+    takeover_done = false;
     policy->set_open(open);
     leases.activate();
     scan.start();
@@ -117,6 +119,7 @@
     rows.tick();
     scan.tick();
     all_held = active && leases.all_held();
+    takeover_done = takeover_done || all_held;
     for (const auto& entry : all_jobs())
     {
         tick_job(entry);
@@ -151,7 +154,8 @@
     case job_phase::withheld:
         if (!leases.contested())
         {
-            finish(entry, entry->item.outcome, !entry->item.durable);
+            conclude(entry,
+                     {entry->item.outcome.code, entry->item.outcome.reason});
         }
         return;
     case job_phase::ended:
@@ -197,28 +201,57 @@
                        job_outcome outcome,
                        bool tell_first)
 {
-    entry->phase = job_phase::finishing;
     entry->item.outcome = std::move(outcome);
+    write_final(entry, tell_first || !entry->item.durable, false);
+}
+
+void zone_core::write_final(const job_ptr& entry,
+                            bool tell_first,
+                            bool did_not_run)
+{
+    entry->phase = job_phase::finishing;
     ++entry->serial;
     entry->run.reset();
-    std::function<void()> delayed;
+    final_write call;
+    call.item = entry->item;
+    call.did_not_run = did_not_run;
+    call.not_run_up_to = entry->not_run_up_to;
     if (tell_first)
     {
-        delayed = [this, entry]
+        call.delayed = [this, entry]
         {
             tell(entry);
         };
     }
-    rows.finish(entry->item,
-                std::move(delayed),
-                [this, entry](const job& row)
-                {
-                    if (!entry->told)
-                    {
-                        entry->item.outcome = row.outcome;
-                    }
-                    end(entry);
-                });
+    call.done = [this, entry](const job& row)
+    {
+        if (!entry->told)
+        {
+            entry->item.outcome = row.outcome;
+        }
+        end(entry);
+    };
+    call.foreign_attempt = [this, entry](const job& row)
+    {
+        hold_for_attempt(entry, row);
+    };
+    rows.finish(std::move(call));
+}
+
+void zone_core::hold_for_attempt(const job_ptr& entry, const job& row)
+{
+    ++entry->serial;
+    if (!active)
+    {
+        jobs.erase(entry->id);
+        return;
+    }
+    withdraw(entry);
+    entry->item.outcome = {};
+    entry->item.attempts = row.attempts;
+    entry->phase = job_phase::held;
+    entry->row_seen = true;
+    resolve_held(entry);
 }
 
 void zone_core::conclude(const job_ptr& entry, failure why)
@@ -248,7 +281,8 @@
     }
     // A row that stays open would let the next scheduler run the job after
     // the caller was told that it did not run.
-    finish(entry, std::move(outcome), !entry->item.durable);
+    entry->item.outcome = std::move(outcome);
+    write_final(entry, !entry->item.durable, !did_run);
 }
 
 void zone_core::row_is_final(const job_ptr& entry, const job& row)
--- a/src/control/zone_takeover.cpp
+++ b/src/control/zone_takeover.cpp
@@ -44,10 +44,14 @@
 
 void zone_core::on_claimed(const std::string& server, const claim_reply& reply)
 {
-    ++claims;
-    policy->add_server({server, reply.rack, reply.accelerators, reply.slots});
     const auto* lease = leases.find(server);
-    policy->set_placeable(server, lease && !lease->leaving());
+    const bool joined_later = lease->first_grant && takeover_done;
+    if (lease->other_owner_before && (lease->contested || !joined_later))
+    {
+        note_foreign_claim();
+    }
+    policy->add_server({server, reply.rack, reply.accelerators, reply.slots});
+    policy->set_placeable(server, !lease->leaving());
     for (const auto& status : reply.tasks)
     {
         adopt_task(server, status);
@@ -63,6 +67,26 @@
     decide();
 }
 
+// The other scheduler may have run jobs that are queued here too, and have
+// acknowledged the end of the tasks.
+void zone_core::note_foreign_claim()
+{
+    ++foreign_claims;
+    last_foreign_claim = now();
+    for (const auto& [id, entry] : jobs)
+    {
+        const bool idle = entry->phase == job_phase::queued ||
+                          entry->phase == job_phase::checking ||
+                          entry->phase == job_phase::gated ||
+                          entry->phase == job_phase::deferred ||
+                          entry->phase == job_phase::withheld;
+        if (idle && entry->item.idempotent)
+        {
+            entry->may_have_run = true;
+        }
+    }
+}
+
 void zone_core::adopt_task(const std::string& server, const task_status& status)
 {
     auto entry = find(job_id(status.item.owner.request));
