--- a/src/control/job_rows.cpp
+++ b/src/control/job_rows.cpp
@@ -57,6 +57,7 @@
 struct job_rows::finish_call
 {
     final_write what;
+    bool writing = false;
     milliseconds backoff = first_finish_retry;
     time_point next_try{};
     bool in_flight = false;
@@ -280,6 +281,10 @@
         end_finish(call, *view.item);
         return;
     }
+    if (withdraw_finish(call))
+    {
+        return;
+    }
     if (call->what.did_not_run && view.item && may_have_run(*call, *view.item))
     {
         --writes_in_flight_;
@@ -301,7 +306,10 @@
                         retry_finish(call);
                         return;
                     }
-                    write_final(call, view, reply.row.version);
+                    if (!withdraw_finish(call))
+                    {
+                        write_final(call, view, reply.row.version);
+                    }
                 });
 }
 
@@ -313,6 +321,7 @@
     final_row.outcome = call->what.item.outcome;
     final_row.durable = true;
     const auto id = job_id(call->what.item.request);
+    call->writing = true;
     std::vector<table_change> changes{{job_key(id),
                                        json_text(to_json(final_row, clock_)),
                                        view.version,
@@ -330,6 +339,7 @@
                      {
                          return;
                      }
+                     call->writing = false;
                      if (reply.error)
                      {
                          retry_finish(call);
@@ -339,6 +349,19 @@
                  });
 }
 
+bool job_rows::withdraw_finish(const std::shared_ptr<finish_call>& call)
+{
+    const bool holds = !call->what.did_not_run || call->what.still_holds();
+    if (holds)
+    {
+        return false;
+    }
+    --writes_in_flight_;
+    finishing_.erase(job_id(call->what.item.request));
+    call->what.withdrawn();
+    return true;
+}
+
 void job_rows::retry_finish(const std::shared_ptr<finish_call>& call)
 {
     call->in_flight = false;
@@ -387,9 +410,15 @@
                 });
 }
 
-std::size_t job_rows::unwritten() const
+bool job_rows::not_run_in_flight() const
 {
-    return finishing_.size();
+    return std::any_of(finishing_.begin(),
+                       finishing_.end(),
+                       [](const auto& item)
+                       {
+                           const auto& call = *item.second;
+                           return call.writing && call.what.did_not_run;
+                       });
 }
 
 void job_rows::tick()
--- a/src/control/job_rows.hpp
+++ b/src/control/job_rows.hpp
@@ -61,6 +61,10 @@
     // `not_run_up_to` are proved not to have run.
     bool did_not_run = false;
     int not_run_up_to = 0;
+    // Checked before each write of a job that did not run; if it is false,
+    // nothing is written and `withdrawn` is called.
+    std::function<bool()> still_holds;
+    std::function<void()> withdrawn;
     // Called once if the first try fails.
     std::function<void()> delayed;
     // Gets the outcome in the row: the first final outcome stays.
@@ -101,8 +105,8 @@
                                  std::vector<std::string> ids,
                                  std::string next)> done);
 
-    // Final rows that are not written yet.
-    std::size_t unwritten() const;
+    // True while a write is in flight that says that a job did not run.
+    bool not_run_in_flight() const;
 
     // Sends what waits for a retry.
     void tick();
@@ -128,6 +132,7 @@
     void write_final(const std::shared_ptr<finish_call>& call,
                      const job_row_view& view,
                      std::uint64_t open_version);
+    bool withdraw_finish(const std::shared_ptr<finish_call>& call);
     void retry_finish(const std::shared_ptr<finish_call>& call);
     void end_finish(const std::shared_ptr<finish_call>& call, const job& item);
 
--- a/src/control/zone_attempts.cpp
+++ b/src/control/zone_attempts.cpp
@@ -287,7 +287,7 @@
             "stopped while it ran; it must not run twice",
             {},
             {}},
-           true);
+           false);
 }
 
 void zone_core::run_failed(const job_ptr& entry)
--- a/src/control/zone_core.cpp
+++ b/src/control/zone_core.cpp
@@ -67,6 +67,11 @@
     {
         return;
     }
+    if (releasing)
+    {
+        releasing = false;
+        leases.release_all(std::move(on_released));
+    }
     log_line(log_level::info, "sched", "activated", {{"zone", zone}});
     active = true;
     activated_at = now();
@@ -97,7 +102,20 @@
     }
     policy = std::make_unique<scheduler>(zone);
     policy->set_sheet(config.plan);
-    leases.release_all(std::move(released));
+    releasing = true;
+    on_released = std::move(released);
+    release_when_settled();
+}
+
+// A write that says "did not run" has to be settled while no other scheduler
+// can start the job, that is before the leases are given back.
+void zone_core::release_when_settled()
+{
+    if (releasing && !rows.not_run_in_flight())
+    {
+        releasing = false;
+        leases.release_all(std::move(on_released));
+    }
 }
 
 void zone_core::set_configuration(const configuration& next, bool is_open)
@@ -118,6 +136,7 @@
     leases.tick();
     rows.tick();
     scan.tick();
+    release_when_settled();
     all_held = active && leases.all_held();
     takeover_done = takeover_done || all_held;
     for (const auto& entry : all_jobs())
@@ -231,6 +250,20 @@
         }
         end(entry);
     };
+    call.still_holds = [this, seen = foreign_claims, entry]
+    {
+        const bool ours = active && !leases.contested();
+        return !entry->item.durable || (ours && seen == foreign_claims);
+    };
+    call.withdrawn = [this, seen = foreign_claims, entry]
+    {
+        entry->phase = job_phase::withheld;
+        entry->may_have_run = entry->item.idempotent && seen != foreign_claims;
+        if (!active)
+        {
+            jobs.erase(entry->id);
+        }
+    };
     call.foreign_attempt = [this, entry](const job& row)
     {
         hold_for_attempt(entry, row);
--- a/src/control/zone_core.hpp
+++ b/src/control/zone_core.hpp
@@ -107,6 +107,7 @@
     void activate();
     void deactivate(std::function<void()> released);
     void set_configuration(const configuration& next, bool is_open);
+    void release_when_settled();
     void tick();
     void tick_job(const job_ptr& entry);
     job_ptr find(std::string_view id) const;
@@ -179,6 +180,9 @@
     bool active = false;
     bool open = false;
     bool deciding = false;
+    // Deactivated, but the leases are not given back yet.
+    bool releasing = false;
+    std::function<void()> on_released;
     configuration config;
     time_point activated_at{};
     // Grants of servers that another scheduler may have held before. It may
--- a/src/control/zone_takeover.cpp
+++ b/src/control/zone_takeover.cpp
@@ -44,6 +44,10 @@
 
 void zone_core::on_claimed(const std::string& server, const claim_reply& reply)
 {
+    if (!active)
+    {
+        return;
+    }
     const auto* lease = leases.find(server);
     const bool joined_later = lease->first_grant && takeover_done;
     if (lease->other_owner_before && (lease->contested || !joined_later))
@@ -121,6 +125,11 @@
 
 void zone_core::on_event(const task_event& event, const event_mark& mark)
 {
+    if (!active)
+    {
+        // The next scheduler learns of it as well.
+        return;
+    }
     const auto entry = find(job_of_task(event.task_id));
     if (entry && entry->run && entry->run->on_event(event, mark))
     {
