--- a/src/control/zone_attempts.cpp
+++ b/src/control/zone_attempts.cpp
@@ -339,6 +339,14 @@
     ++entry->serial;
     acknowledge(entry);
     entry->run.reset();
+    const bool may_run_elsewhere =
+        entry->item.idempotent && entry->may_have_run && !takeover_done;
+    if (may_run_elsewhere)
+    {
+        withdraw(entry);
+        entry->phase = job_phase::held;
+        return;
+    }
     if (entry->cancel_requested || !entry->placed)
     {
         withdraw(entry);
--- a/src/control/zone_takeover.cpp
+++ b/src/control/zone_takeover.cpp
@@ -28,6 +28,22 @@
     return state == task_state::prepared || state == task_state::running;
 }
 
+// The latest attempt of a job is the one to adopt.
+std::vector<const task_status*>
+latest_first(const std::vector<task_status>& tasks)
+{
+    std::vector<const task_status*> sorted;
+    for (const auto& status : tasks)
+    {
+        sorted.push_back(&status);
+    }
+    std::stable_sort(sorted.begin(),
+                     sorted.end(),
+                     [](const task_status* a, const task_status* b)
+                     { return a->item.attempt > b->item.attempt; });
+    return sorted;
+}
+
 bool owns(const task_run& run, const std::string& server, std::string_view id)
 {
     return std::any_of(run.parts().begin(),
@@ -56,9 +72,9 @@
     }
     policy->add_server({server, reply.rack, reply.accelerators, reply.slots});
     policy->set_placeable(server, !lease->leaving());
-    for (const auto& status : reply.tasks)
+    for (const auto* status : latest_first(reply.tasks))
     {
-        adopt_task(server, status);
+        adopt_task(server, *status);
     }
     for (const auto& entry : all_jobs())
     {
