--- a/src/control/job_rows.cpp
+++ b/src/control/job_rows.cpp
@@ -340,6 +340,12 @@
                          return;
                      }
                      call->writing = false;
+                     if (reply.error.code == result_code::conflict)
+                     {
+                         --writes_in_flight_;
+                         try_finish(call);
+                         return;
+                     }
                      if (reply.error)
                      {
                          retry_finish(call);
--- a/src/control/task_run.cpp
+++ b/src/control/task_run.cpp
@@ -566,6 +566,7 @@
     apply(*part, event);
     if (is_final(part->state))
     {
+        fence_repeats(*part);
         marks_.push_back(mark);
     }
     else
@@ -614,6 +615,17 @@
     part.result = event;
 }
 
+// The server forgets an ended task once it is acknowledged; a repeat of its
+// start that is still under way would then run it again. A new epoch refuses
+// it.
+void task_run::fence_repeats(const run_part& part)
+{
+    if (part.uncertain && part.sends > 1)
+    {
+        hooks_.leases->fence(part.server, part.token);
+    }
+}
+
 void task_run::on_gone(std::string_view server)
 {
     for (auto& part : parts_)
--- a/src/control/task_run.hpp
+++ b/src/control/task_run.hpp
@@ -143,6 +143,7 @@
     void advance_part(run_part& part);
     void advance_stop(run_part& part);
     void settle_start(run_part& part);
+    void fence_repeats(const run_part& part);
     bool may_start_at(const run_part& part) const;
     void send_prepare(run_part& part);
     void send_start(run_part& part);
--- a/tests/zone_scheduler_test.cpp
+++ b/tests/zone_scheduler_test.cpp
@@ -79,6 +79,17 @@
     CHECK(zone.state("bead/1") == job_state::done);
 }
 
+// Guards against a second run by a repeated start that arrives after the end of
+// the task was acknowledged and forgotten.
+TEST(zone_scheduler, fences_late_repeat_of_start)
+{
+    zone.fail("start", call_fault::silent, 2);
+    zone.accept(make_job("1", 1, false), zone.a, 100);
+    zone.run(8000);
+    CHECK_EQUAL(1, zone.all.executions_of("bead/1"));
+    CHECK(zone.state("bead/1") == job_state::done);
+}
+
 // Guards against a gang of which a part runs.
 TEST(zone_scheduler, commits_only_a_gang_that_is_prepared_whole)
 {
