--- a/src/control/job_rows.cpp
+++ b/src/control/job_rows.cpp
@@ -268,9 +268,34 @@
          { on_finish_read(call, view); });
 }
 
+bool job_rows::withdraw(const std::string& id)
+{
+    const auto found = finishing_.find(id);
+    if (found == finishing_.end() || found->second->writing)
+    {
+        return false;
+    }
+    if (found->second->in_flight)
+    {
+        --writes_in_flight_;
+    }
+    finishing_.erase(found);
+    return true;
+}
+
+bool job_rows::is_current(const std::shared_ptr<finish_call>& call) const
+{
+    const auto found = finishing_.find(job_id(call->what.item.request));
+    return found != finishing_.end() && found->second == call;
+}
+
 void job_rows::on_finish_read(const std::shared_ptr<finish_call>& call,
                               const job_row_view& view)
 {
+    if (!is_current(call))
+    {
+        return;
+    }
     if (view.error)
     {
         retry_finish(call);
@@ -297,7 +322,7 @@
                 [this, alive = std::weak_ptr<char>(alive_), call, view](
                     const table_read_reply& reply)
                 {
-                    if (alive.expired())
+                    if (alive.expired() || !is_current(call))
                     {
                         return;
                     }
--- a/src/control/job_rows.hpp
+++ b/src/control/job_rows.hpp
@@ -105,6 +105,10 @@
                                  std::vector<std::string> ids,
                                  std::string next)> done);
 
+    // Gives up `finish` of a job; false if its write is in flight or there is
+    // none.
+    bool withdraw(const std::string& id);
+
     // True while a write is in flight that says that a job did not run.
     bool not_run_in_flight() const;
 
@@ -132,6 +136,7 @@
     void write_final(const std::shared_ptr<finish_call>& call,
                      const job_row_view& view,
                      std::uint64_t open_version);
+    bool is_current(const std::shared_ptr<finish_call>& call) const;
     bool withdraw_finish(const std::shared_ptr<finish_call>& call);
     void retry_finish(const std::shared_ptr<finish_call>& call);
     void end_finish(const std::shared_ptr<finish_call>& call, const job& item);
--- a/src/control/zone_attempts.cpp
+++ b/src/control/zone_attempts.cpp
@@ -337,7 +337,10 @@
 void zone_core::requeue(const job_ptr& entry, const std::string& fault_server)
 {
     ++entry->serial;
-    acknowledge(entry);
+    if (entry->item.idempotent)
+    {
+        acknowledge(entry);
+    }
     entry->run.reset();
     const bool may_run_elsewhere =
         entry->item.idempotent && entry->may_have_run && !takeover_done;
--- a/src/control/zone_core.cpp
+++ b/src/control/zone_core.cpp
@@ -221,6 +221,7 @@
                        bool tell_first)
 {
     entry->item.outcome = std::move(outcome);
+    entry->inferred = entry->item.outcome.state == job_state::unknown;
     write_final(entry, tell_first || !entry->item.durable, false);
 }
 
@@ -315,6 +316,7 @@
     // A row that stays open would let the next scheduler run the job after
     // the caller was told that it did not run.
     entry->item.outcome = std::move(outcome);
+    entry->inferred = true;
     write_final(entry, !entry->item.durable, !did_run);
 }
 
--- a/src/control/zone_core.hpp
+++ b/src/control/zone_core.hpp
@@ -65,6 +65,8 @@
     // An earlier scheduler may have run it.
     bool may_have_run = false;
     bool cancel_requested = false;
+    // The outcome is no report of a backend server.
+    bool inferred = false;
     bool told = false;
     // The row was read after the job was held.
     bool row_seen = false;
@@ -165,6 +167,7 @@
     void on_event(const task_event& event, const event_mark& mark);
     void on_gone(const std::string& server);
     void note_foreign_claim();
+    bool take_back_inferred(const job_ptr& entry);
     void adopt_task(const std::string& server, const task_status& status);
     void on_open_job(const std::string& id);
     void resolve_held(const job_ptr& entry);
--- a/src/control/zone_takeover.cpp
+++ b/src/control/zone_takeover.cpp
@@ -44,6 +44,14 @@
     return sorted;
 }
 
+// A later attempt exists only if the earlier ones are proved not to have run;
+// for an idempotent job that holds unless this scheduler runs it.
+bool replaces_run(const zone_job& entry, const task_status& status)
+{
+    const bool later = status.item.attempt > entry.run->attempt();
+    return later && (!entry.item.idempotent || !entry.placed);
+}
+
 bool owns(const task_run& run, const std::string& server, std::string_view id)
 {
     return std::any_of(run.parts().begin(),
@@ -114,9 +122,10 @@
     {
         entry = add(status.item.owner);
     }
-    const bool decided = entry->phase == job_phase::finishing ||
-                         entry->phase == job_phase::ended;
-    if (decided || entry->run)
+    const bool decided =
+        entry->phase == job_phase::ended ||
+        (entry->phase == job_phase::finishing && !take_back_inferred(entry));
+    if (decided || (entry->run && !replaces_run(*entry, status)))
     {
         const bool ours =
             entry->run && owns(*entry->run, server, status.item.id);
@@ -132,6 +141,8 @@
              {{"task", status.item.id}, {"server", server}});
     ++entry->serial;
     withdraw(entry);
+    entry->started = false;
+    entry->item.outcome = {};
     entry->may_have_run = true;
     entry->attempt = status.item.attempt;
     entry->phase = job_phase::running;
@@ -139,6 +150,13 @@
     entry->run->adopt(status.item);
 }
 
+// True if the outcome was inferred and its row is not written: what a backend
+// server reports is better.
+bool zone_core::take_back_inferred(const job_ptr& entry)
+{
+    return entry->inferred && !entry->told && rows.withdraw(entry->id);
+}
+
 void zone_core::on_event(const task_event& event, const event_mark& mark)
 {
     if (!active)
@@ -153,7 +171,10 @@
         decide();
         return;
     }
-    if (entry && entry->phase == job_phase::finishing)
+    // A task that must not run twice is evidence until its job has ended.
+    const bool is_evidence =
+        entry && entry->phase != job_phase::ended && !entry->item.idempotent;
+    if (is_evidence || (entry && entry->phase == job_phase::finishing))
     {
         entry->marks.push_back(mark);
         return;
