--- /dev/null
+++ b/src/config/sheet_check.cpp
@@ -0,0 +1,286 @@
+#include "config/sheet_check.hpp"
+
+#include "policy/guarantee.hpp"
+#include "policy/scheduler.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// Capacity of the racks of an availability zone when nothing runs.
+struct zone_capacity
+{
+    std::vector<capacity> servers;
+    span_limits limits;
+};
+
+zone_capacity capacity_of(const availability_zone& zone)
+{
+    zone_capacity result;
+    int rack = 0;
+    for (const auto& plan : zone.racks)
+    {
+        capacity server;
+        server.rack = rack++;
+        server.left = {plan.accelerators_per_server, server_info().slots};
+        for (int i = 0; i < plan.servers; ++i)
+        {
+            server.server = static_cast<int>(result.servers.size());
+            result.servers.push_back(server);
+        }
+        auto& limits = result.limits;
+        limits.largest_server =
+            std::max(limits.largest_server, plan.accelerators_per_server);
+        limits.largest_rack = std::max(
+            limits.largest_rack, plan.servers * plan.accelerators_per_server);
+    }
+    return result;
+}
+
+failure found_again(const json_place& at, const std::string& name)
+{
+    return wrong_value(at, "\"" + name + "\" again", "each name once");
+}
+
+template <class Item>
+bool check_unique(const std::vector<Item>& items,
+                  const json_place& list,
+                  failure& why)
+{
+    std::set<std::string> names;
+    for (std::size_t i = 0; i < items.size(); ++i)
+    {
+        if (!names.insert(items[i].name).second)
+        {
+            why = found_again(list.element(i).member("name"), items[i].name);
+            return false;
+        }
+    }
+    return true;
+}
+
+template <class Item>
+std::string names_of(const std::vector<Item>& items)
+{
+    std::string names;
+    for (const auto& item : items)
+    {
+        names += (names.empty() ? "" : ", ") + item.name;
+    }
+    return names.empty() ? "none" : names;
+}
+
+// `known` is the result of a look-up of `name` among `items`.
+template <class Item>
+bool check_known(const Item* known,
+                 const std::vector<Item>& items,
+                 const std::string& name,
+                 const json_place& at,
+                 failure& why)
+{
+    if (known != nullptr)
+    {
+        return true;
+    }
+    why = wrong_value(at, "unknown \"" + name + "\"", names_of(items));
+    return false;
+}
+
+bool check_names(const sheet& plan, const json_place& top, failure& why)
+{
+    if (!check_unique(plan.zones, top.member("zones"), why) ||
+        !check_unique(plan.customers, top.member("customers"), why) ||
+        !check_unique(plan.kinds, top.member("kinds"), why))
+    {
+        return false;
+    }
+    for (std::size_t i = 0; i < plan.zones.size(); ++i)
+    {
+        const auto racks = top.member("zones").element(i).member("racks");
+        if (plan.zones[i].racks.empty())
+        {
+            why = wrong_value(racks, "an empty list", "at least one rack");
+            return false;
+        }
+        if (!check_unique(plan.zones[i].racks, racks, why))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool check_kinds(const sheet& plan, const json_place& list, failure& why)
+{
+    for (std::size_t i = 0; i < plan.kinds.size(); ++i)
+    {
+        const auto zones = list.element(i).member("zones");
+        for (std::size_t j = 0; j < plan.kinds[i].zones.size(); ++j)
+        {
+            const auto& name = plan.kinds[i].zones[j];
+            if (!check_known(find_zone(plan, name),
+                             plan.zones,
+                             name,
+                             zones.element(j),
+                             why))
+            {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+bool check_guarantee(const sheet& plan,
+                     const guarantee& item,
+                     const json_place& at,
+                     failure& why)
+{
+    if (!std::has_single_bit(static_cast<unsigned>(item.shape)))
+    {
+        why = wrong_value(at.member("shape"),
+                          std::to_string(item.shape),
+                          "power of two from 1 to 256");
+        return false;
+    }
+    return check_known(find_customer(plan, item.customer),
+                       plan.customers,
+                       item.customer,
+                       at.member("customer"),
+                       why) &&
+           check_known(find_zone(plan, item.zone),
+                       plan.zones,
+                       item.zone,
+                       at.member("zone"),
+                       why);
+}
+
+bool check_guarantees(const sheet& plan, const json_place& list, failure& why)
+{
+    std::set<std::string> seen;
+    for (std::size_t i = 0; i < plan.guarantees.size(); ++i)
+    {
+        const auto& item = plan.guarantees[i];
+        if (!check_guarantee(plan, item, list.element(i), why))
+        {
+            return false;
+        }
+        const auto key = item.customer + " in " + item.zone + " shape " +
+                         std::to_string(item.shape);
+        if (!seen.insert(key).second)
+        {
+            why = wrong_value(list.element(i),
+                              key + " again",
+                              "one entry per customer, zone and shape");
+            return false;
+        }
+    }
+    return true;
+}
+
+bool check_expected(const sheet& plan, const json_place& list, failure& why)
+{
+    for (std::size_t i = 0; i < plan.expected.size(); ++i)
+    {
+        const auto& item = plan.expected[i];
+        const auto at = list.element(i);
+        if (!check_known(find_customer(plan, item.customer),
+                         plan.customers,
+                         item.customer,
+                         at.member("customer"),
+                         why) ||
+            !check_known(find_kind(plan, item.kind),
+                         plan.kinds,
+                         item.kind,
+                         at.member("kind"),
+                         why))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+// "16 blocks of shape 8 guaranteed, 4 of them (32 accelerators) do not fit".
+std::string shortfall_text(const std::vector<shortfall>& missing)
+{
+    std::string text;
+    for (const auto& item : missing)
+    {
+        text += text.empty() ? "" : ", ";
+        text += std::to_string(item.wanted) + " blocks of shape " +
+                std::to_string(item.shape) + " of which " +
+                std::to_string(item.missing) + " (" +
+                std::to_string(std::int64_t{item.missing} * item.shape) +
+                " accelerators) do not fit";
+    }
+    return text;
+}
+
+bool check_capacity(const sheet& plan, const json_place& top, failure& why)
+{
+    for (const auto& zone : plan.zones)
+    {
+        const auto missing = find_shortfalls(plan, zone);
+        if (!missing.empty())
+        {
+            why = wrong_value(top.member("guarantees"),
+                              shortfall_text(missing) + " in " + zone.name,
+                              "guarantees that the racks of " + zone.name +
+                                  " can meet together");
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::vector<shortfall> find_shortfalls(const sheet& plan,
+                                       const availability_zone& zone)
+{
+    shape_counts wanted;
+    for (const auto& item : plan.guarantees)
+    {
+        if (item.zone == zone.name)
+        {
+            wanted[item.shape] += item.count;
+        }
+    }
+    const auto zone_servers = capacity_of(zone);
+    const auto packed =
+        pack_blocks(zone_servers.servers, wanted, zone_servers.limits);
+    auto missing = wanted;
+    for (const auto& place : packed.places)
+    {
+        --missing[place.shape];
+    }
+    std::vector<shortfall> result;
+    for (const auto& [shape, count] : wanted)
+    {
+        if (missing[shape] > 0)
+        {
+            result.push_back({shape, count, missing[shape]});
+        }
+    }
+    return result;
+}
+
+bool check_sheet(const sheet& plan, const json_place& top, failure& why)
+{
+    return check_names(plan, top, why) &&
+           check_kinds(plan, top.member("kinds"), why) &&
+           check_guarantees(plan, top.member("guarantees"), why) &&
+           check_expected(plan, top.member("expected"), why) &&
+           check_capacity(plan, top, why);
+}
+
+} // namespace poplarramp
