--- a/src/policy/cluster.cpp
+++ b/src/policy/cluster.cpp
@@ -15,34 +15,17 @@
     target.slots += slots;
 }
 
-// What is left of `total` when the claims that no stopping task will cover are
-// kept back.
-int left_now(int total, int used, int claimed, int stopping)
-{
-    return std::max(0, total - used - std::max(0, claimed - stopping));
-}
-
 } // namespace
 
-amount server_state::free() const
-{
-    return {left_now(info.accelerators,
-                     used.accelerators,
-                     claimed.accelerators,
-                     stopping.accelerators),
-            left_now(info.slots, used.slots, claimed.slots, stopping.slots)};
-}
-
-amount server_state::prospective() const
+bool loses_job(const placed_task& task)
 {
-    return {info.accelerators - used.accelerators + stopping.accelerators -
-                claimed.accelerators,
-            info.slots - used.slots + stopping.slots - claimed.slots};
+    return !task.idempotent && !task.can_checkpoint;
 }
 
-amount server_state::unbound() const
+bool preemptible_by_urgent(const placed_task& task)
 {
-    return {info.accelerators - firm.accelerators, info.slots - firm.slots};
+    return !task.pinned && !task.in_guarantee && !task.urgent &&
+           !task.stopping && !loses_job(task);
 }
 
 int cluster::add_server(const server_info& server)
@@ -98,6 +81,14 @@
                found.unhealthy = unhealthy;
                found.probing = probing;
            });
+    if (probing)
+    {
+        probing_servers_.insert(server);
+    }
+    else
+    {
+        probing_servers_.erase(server);
+    }
 }
 
 void cluster::set_reservation(int server, std::int64_t job, time_point from)
@@ -170,7 +161,10 @@
 
 void cluster::set_in_guarantee(std::int64_t number, bool in_guarantee)
 {
-    tasks_.at(number).in_guarantee = in_guarantee;
+    auto& task = tasks_.at(number);
+    use(task, -1);
+    task.in_guarantee = in_guarantee;
+    use(task, 1);
 }
 
 void cluster::claim(std::span<const part> parts, int sign)
@@ -226,6 +220,10 @@
                {
                    const int accelerators = sign * share.accelerators;
                    change(found.used, accelerators, sign);
+                   if (preemptible_by_urgent(task))
+                   {
+                       change(found.preemptible, accelerators, sign);
+                   }
                    if (task.stopping)
                    {
                        change(found.stopping, accelerators, sign);
