Place guests outside occupied blocks first; refuse pinned jobs without room

Cause: the comparison with a naive scan showed a guest preempted although other accelerators were free: guests went into the unused part of an occupied block, and blocks opened around guests.

Guests now take capacity outside occupied blocks first, and a block opens where it holds the fewest guests. Ruled out: letting the owner run borrowed elsewhere instead of preempting, because its job would lose the protection of its guarantee.

Also: a pinned job that the guarantees of others leave no room for is refused with `never_fits`; the parts of an adopted gang may be reported one by one; run times are learned only from starts that were seen.

--- a/src/policy/cluster.cpp
+++ b/src/policy/cluster.cpp
@@ -182,6 +182,11 @@
     change(state(server).firm, accelerators, slots);
 }
 
+void cluster::change_lendable(int server, int accelerators)
+{
+    state(server).lendable += accelerators;
+}
+
 int cluster::slot_server(const std::function<bool(int)>& accepts) const
 {
     for (const auto& key : by_free_slots_)
--- a/src/policy/cluster.hpp
+++ b/src/policy/cluster.hpp
@@ -86,6 +86,9 @@
     // Not available to other guarantees: occupied blocks in full size and
     // pinned borrowed tasks.
     amount firm;
+    // Accelerators of occupied blocks that their owners do not use. Others may
+    // use them until the owner takes them back.
+    int lendable = 0;
     // Job number of the reservation that drains this server; 0: none.
     std::int64_t reserved_for = 0;
     time_point reserved_from = no_deadline;
@@ -105,6 +108,11 @@
                      stopping.accelerators),
             left_now(info.slots, used.slots, claimed.slots, stopping.slots)};
     }
+    // Accelerators of `free` that are in no occupied block.
+    int free_outside_blocks() const
+    {
+        return std::max(0, free().accelerators - lendable);
+    }
     // Usable once the stopping tasks have ended, less what is promised.
     amount prospective() const
     {
@@ -154,6 +162,7 @@
     // Sign +1 takes, -1 gives back. Every part takes one slot.
     void claim(std::span<const part> parts, int sign);
     void change_firm(int server, int accelerators, int slots);
+    void change_lendable(int server, int accelerators);
 
     const std::vector<server_state>& servers() const
     {
--- a/src/policy/guarantee.cpp
+++ b/src/policy/guarantee.cpp
@@ -457,6 +457,7 @@
     share.used += accelerators;
     share.tasks += tasks;
     servers.change_firm(share.server, 0, share.slots() - before);
+    servers.change_lendable(share.server, -accelerators);
 }
 
 int guarantee_book::open(cluster& servers,
@@ -469,6 +470,7 @@
     {
         opened.shares.push_back({share.server, share.accelerators, 0, 0});
         servers.change_firm(share.server, share.accelerators, 1);
+        servers.change_lendable(share.server, share.accelerators);
     }
     ++occupied_[owner];
     opened.unused = owner.second;
@@ -521,6 +523,7 @@
     for (const auto& share : owner->second.shares)
     {
         servers.change_firm(share.server, -share.size, -share.slots());
+        servers.change_lendable(share.server, -share.size);
         place.parts.push_back({share.server, share.size});
     }
     --occupied_[owner->second.owner];
--- a/src/policy/planner.cpp
+++ b/src/policy/planner.cpp
@@ -18,6 +18,18 @@
     return usable ? std::max(0, left.accelerators) : 0;
 }
 
+// Accelerators of the extent that others use.
+int guests_in(const cluster& servers, const part_list& extent)
+{
+    int sum = 0;
+    for (const auto& share : extent)
+    {
+        const int free = servers.at(share.server).free_outside_blocks();
+        sum += std::max(0, share.accelerators - free);
+    }
+    return sum;
+}
+
 int accelerators_on(const part_list& parts, int server)
 {
     for (const auto& share : parts)
@@ -85,11 +97,13 @@
         on_servers;
 };
 
-// Ordered by cost, then by the smallest block, then by the least room left.
+// Ordered by cost, then by the smallest block, then by the fewest guests in it,
+// who would be preempted later, then by the least room left.
 struct planner::candidate
 {
     std::int64_t cost = 0;
     int shape = 0;
+    int guests = 0;
     int spare = 0;
     int server = 0;
     int block = 0;
@@ -99,7 +113,7 @@
 
     auto order() const
     {
-        return std::tie(cost, shape, spare, server, block);
+        return std::tie(cost, shape, guests, spare, server, block);
     }
 };
 
@@ -343,6 +357,7 @@
         next.server = server;
         next.owner = {need.customer, shape};
         next.extent = {{server, shape}};
+        next.guests = guests_in(servers_, next.extent);
         next.found = std::move(*place);
         found.push_back(std::move(next));
     }
@@ -412,6 +427,7 @@
         next.server = place->parts.front().server;
         next.owner = {need.customer, shape};
         next.extent = std::move(*extent);
+        next.guests = guests_in(servers_, next.extent);
         next.found = std::move(*place);
         found.push_back(std::move(next));
     };
@@ -539,13 +555,26 @@
         return server < 0 ? std::nullopt
                           : std::optional<part_list>(part_list{{server, 0}});
     }
-    const auto room = [&](int server)
+    // Capacity that occupied blocks lend is the second choice: their owner may
+    // take it back at any time.
+    for (const bool lent : {false, true})
     {
-        return open_to(need, server, urgent_first)
-                   ? free_room(servers_.at(server))
-                   : 0;
-    };
-    return find_place(servers_, need.accelerators, limits_, room);
+        const auto room = [&](int server)
+        {
+            if (!open_to(need, server, urgent_first))
+            {
+                return 0;
+            }
+            const auto& item = servers_.at(server);
+            const int free = free_room(item);
+            return lent ? free : std::min(free, item.free_outside_blocks());
+        };
+        if (auto parts = find_place(servers_, need.accelerators, limits_, room))
+        {
+            return parts;
+        }
+    }
+    return std::nullopt;
 }
 
 bool planner::keeps_pinned(const part_list& parts)
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -40,15 +40,17 @@
 {
     using zone_state::zone_state;
 
-    std::optional<failure> refusal(const job& item, time_point now) const;
-    std::optional<failure> never_fits(const job& item) const;
+    std::optional<failure> refusal(const job& item, time_point now);
+    std::optional<failure> never_fits(const job& item);
     void server_failed(int server, const job_entry& entry, time_point now);
+    void
+    widen_adopted(job_entry& entry, const part_list& parts, time_point now);
     void count_end(const job_entry& entry, bool succeeded, time_point now);
     std::string place_text(const job_entry& entry) const;
     std::string wait_text(const job_entry& entry) const;
 };
 
-std::optional<failure> scheduler::state::never_fits(const job& item) const
+std::optional<failure> scheduler::state::never_fits(const job& item)
 {
     const int wanted = item.request.accelerators;
     if (wanted < 0 || wanted > largest_shape)
@@ -72,11 +74,18 @@
                        "the customer's quota is " + std::to_string(quota) +
                            " accelerators"};
     }
+    if (is_pinned(item) &&
+        never_beside_guarantees(item.request.customer, wanted))
+    {
+        return failure{result_code::never_fits,
+                       "the job cannot be stopped, and the guarantees of "
+                       "others leave no room for it"};
+    }
     return std::nullopt;
 }
 
 std::optional<failure> scheduler::state::refusal(const job& item,
-                                                 time_point now) const
+                                                 time_point now)
 {
     if (auto refused = never_fits(item))
     {
@@ -115,6 +124,31 @@
     }
 }
 
+// The members of a gang can be reported one after the other.
+void scheduler::state::widen_adopted(job_entry& entry,
+                                     const part_list& parts,
+                                     time_point now)
+{
+    auto all = servers.find_task(entry.number)->parts;
+    const auto known = all.size();
+    for (const auto& next : parts)
+    {
+        const bool listed = std::any_of(
+            all.begin(),
+            all.end(),
+            [&](const part& share) { return share.server == next.server; });
+        if (!listed)
+        {
+            all.push_back(next);
+        }
+    }
+    if (all.size() > known)
+    {
+        release(entry);
+        adopt(entry, std::move(all), now);
+    }
+}
+
 // Learns from the end of a task. The server of a failed gang member is not
 // known here; control names it when it requeues the gang.
 void scheduler::state::count_end(const job_entry& entry,
@@ -124,7 +158,7 @@
     const auto parts = servers.find_task(entry.number)->parts;
     if (succeeded)
     {
-        if (entry.running)
+        if (entry.start_known)
         {
             runs.add(
                 entry.customer(), entry.item.request.kind, now - entry.started);
@@ -253,14 +287,15 @@
                       std::span<const placement_part> parts,
                       time_point now)
 {
-    auto* known = state_->find(job_id(item.request));
-    if (known != nullptr && known->phase == job_phase::placed)
+    auto indexed = indexed_parts(state_->servers, parts);
+    if (indexed.empty())
     {
         return;
     }
-    auto indexed = indexed_parts(state_->servers, parts);
-    if (indexed.empty())
+    auto* known = state_->find(job_id(item.request));
+    if (known != nullptr && known->phase == job_phase::placed)
     {
+        state_->widen_adopted(*known, indexed, now);
         return;
     }
     auto& entry = known == nullptr ? state_->add(item) : *known;
@@ -291,6 +326,7 @@
         return;
     }
     entry->running = true;
+    entry->start_known = true;
     entry->started = now;
     state_->servers.mark_started(
         entry->number, now, now + state_->run_estimate(*entry, long_run));
--- a/src/policy/scheduler.hpp
+++ b/src/policy/scheduler.hpp
@@ -103,6 +103,8 @@
     std::optional<failure> submit(const job& item, time_point now);
 
     // Takes over a job that runs already, as the backend servers report it.
+    // A repeated call adds the parts that were not known; servers that were
+    // never added are left out.
     void adopt(const job& item,
                std::span<const placement_part> parts,
                time_point now);
--- a/src/policy/zone_state.cpp
+++ b/src/policy/zone_state.cpp
@@ -105,6 +105,8 @@
 void zone_state::read_zone()
 {
     planned_limits = {};
+    planned_servers.clear();
+    fits_beside_guarantees.clear();
     planned_accelerators = std::numeric_limits<int>::max();
     const auto* here = find_zone(plan, zone);
     if (here == nullptr || here->racks.empty())
@@ -118,6 +120,10 @@
         const int size = rack.servers * rack.accelerators_per_server;
         racks[rack.name] += size;
         planned_accelerators += size;
+        const capacity one{
+            0, 0, {rack.accelerators_per_server, rack.accelerators_per_server}};
+        planned_servers.insert(
+            planned_servers.end(), static_cast<std::size_t>(rack.servers), one);
         planned_limits.largest_rack =
             std::max(planned_limits.largest_rack, racks[rack.name]);
         if (rack.servers > 0)
@@ -155,6 +161,60 @@
            quota;
 }
 
+// Only for shapes within one server, where packing is exact.
+bool zone_state::never_beside_guarantees(const std::string& customer,
+                                         int accelerators)
+{
+    int largest = accelerators;
+    for (const auto& [owner, count] : book.counts())
+    {
+        if (owner.first == customer && owner.second >= accelerators)
+        {
+            return false;
+        }
+        largest = std::max(largest, owner.second);
+    }
+    if (planned_servers.empty() || accelerators == 0 ||
+        largest > planned_limits.largest_server)
+    {
+        return false;
+    }
+    const auto known = fits_beside_guarantees.find(accelerators);
+    if (known != fits_beside_guarantees.end())
+    {
+        return !known->second;
+    }
+    const bool fits = room_beside_guarantees(accelerators);
+    fits_beside_guarantees.emplace(accelerators, fits);
+    return !fits;
+}
+
+// Tries one planned server of each size.
+bool zone_state::room_beside_guarantees(int accelerators) const
+{
+    shape_counts shapes;
+    for (const auto& [owner, count] : book.counts())
+    {
+        shapes[owner.second] += count;
+    }
+    std::set<int> tried;
+    for (std::size_t i = 0; i < planned_servers.size(); ++i)
+    {
+        const int size = planned_servers[i].left.accelerators;
+        if (size < accelerators || !tried.insert(size).second)
+        {
+            continue;
+        }
+        auto left = planned_servers;
+        left[i].left.accelerators -= accelerators;
+        if (pack_blocks(std::move(left), shapes, planned_limits).complete)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 customer_share zone_state::share_of(const std::string& customer) const
 {
     customer_share share;
@@ -359,50 +419,43 @@
 {
     bind(entry, next);
     dequeue(entry);
-    decision made;
-    made.job_id = entry.id;
-    made.parts = named_parts(servers, next.parts);
-    made.borrowed = !next.in_guarantee;
-    servers.add_task(task_of(entry, next.parts, now));
-    if (!next.in_guarantee)
-    {
-        accounts[entry.customer()].borrowed_tasks.insert(entry.number);
-    }
     if (next.probe)
     {
         const int server = next.parts.front().server;
         health.probe_started(server);
         servers.set_health(server, true, false);
     }
-    entry.probe = next.probe;
-    entry.phase = job_phase::placed;
-    entry.was_placed = true;
-    entry.stop_asked = false;
-    entry.running = false;
-    entry.started = now;
-    return made;
+    return start(entry, next.parts, next.probe, now);
 }
 
 decision zone_state::place_claimed(job_entry& entry, time_point now)
 {
     servers.claim(entry.plan.parts, -1);
     claims.erase(entry.number);
-    auto& mine = accounts[entry.customer()];
-    --mine.claimed_jobs;
+    --accounts[entry.customer()].claimed_jobs;
+    return start(entry, entry.plan.parts, false, now);
+}
+
+decision zone_state::start(job_entry& entry,
+                           const part_list& parts,
+                           bool probe,
+                           time_point now)
+{
     decision made;
     made.job_id = entry.id;
-    made.parts = named_parts(servers, entry.plan.parts);
+    made.parts = named_parts(servers, parts);
     made.borrowed = book.block_of(entry.number) == 0;
-    servers.add_task(task_of(entry, entry.plan.parts, now));
+    servers.add_task(task_of(entry, parts, now));
     if (made.borrowed)
     {
-        mine.borrowed_tasks.insert(entry.number);
+        accounts[entry.customer()].borrowed_tasks.insert(entry.number);
     }
-    entry.probe = false;
+    entry.probe = probe;
     entry.phase = job_phase::placed;
     entry.was_placed = true;
     entry.stop_asked = false;
     entry.running = false;
+    entry.start_known = false;
     entry.started = now;
     return made;
 }
@@ -630,7 +683,11 @@
         const auto& members = servers.racks()[static_cast<std::size_t>(rack)];
         indexes.insert(indexes.end(), members.begin(), members.end());
     }
-    const int missing = shape - task.accelerators;
+    int missing = shape;
+    for (const auto& taken : task.parts)
+    {
+        missing -= taken.accelerators;
+    }
     auto extent = widen(servers, indexes, task.parts, task.pinned, missing);
     if (!extent && !one_rack)
     {
--- a/src/policy/zone_state.hpp
+++ b/src/policy/zone_state.hpp
@@ -41,6 +41,8 @@
     std::int64_t number = 0;
     job_phase phase = job_phase::queued;
     bool running = false;
+    // `started` is the start of the run, not of its adoption.
+    bool start_known = false;
     // Its end says nothing about the health of its servers.
     bool stop_asked = false;
     bool probe = false;
@@ -83,6 +85,10 @@
     std::map<std::string, int> guaranteed;
     span_limits planned_limits;
     int planned_accelerators = 0;
+    // Servers of the plan, and for a number of accelerators whether a pinned
+    // borrowed job fits beside all guarantees.
+    std::vector<capacity> planned_servers;
+    std::map<int, bool> fits_beside_guarantees;
     bool open = true;
 
     cluster servers;
@@ -122,6 +128,8 @@
     void set_sheet(const sheet& next);
     span_limits limits() const;
     bool over_quota(const job_entry& entry) const;
+    // True if the sheet leaves no room, ever, for a pinned job of the customer.
+    bool never_beside_guarantees(const std::string& customer, int accelerators);
     customer_share share_of(const std::string& customer) const;
 
     // Queue. Precondition of `enqueue`: the job is not queued.
@@ -149,8 +157,11 @@
     void read_customers();
     void read_zone();
     void schedule(job_entry& entry);
+    bool room_beside_guarantees(int accelerators) const;
     bool bind(job_entry& entry, const job_plan& next);
     void unbind(job_entry& entry, const part_list& parts);
+    decision
+    start(job_entry& entry, const part_list& parts, bool probe, time_point now);
     placed_task
     task_of(const job_entry& entry, part_list parts, time_point now) const;
     void account(const job_entry& entry, bool in_guarantee, int sign);
--- /dev/null
+++ b/tests/policy_rules_test.cpp
@@ -0,0 +1,396 @@
+#include "policy/scheduler.hpp"
+
+#include "policy_helpers.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+using namespace poplarramp::testing;
+
+namespace
+{
+
+constexpr int worlds = 300;
+
+sheet plan_of(int servers, std::vector<guarantee> guarantees)
+{
+    sheet plan;
+    plan.zones.push_back({"z", "r", {{"r0", servers, 8}}});
+    for (const auto* name : {"a", "b", "c", "d"})
+    {
+        plan.customers.push_back({name, 0, 1000});
+    }
+    plan.guarantees = std::move(guarantees);
+    return plan;
+}
+
+job pinned(job item)
+{
+    item.can_stop = false;
+    return item;
+}
+
+job urgent(job item)
+{
+    item.urgency_class = urgency::urgent;
+    return item;
+}
+
+job with_deadline(job item, milliseconds after, milliseconds run)
+{
+    item.request.deadline = item.accepted + after;
+    item.expected_run = run;
+    return item;
+}
+
+// Index of the job that a naive scan takes next.
+std::size_t next_by_scan(const std::vector<job>& waiting,
+                         const std::map<std::string, int>& used,
+                         const std::map<std::string, int>& guaranteed,
+                         time_point now)
+{
+    const auto key = [&](std::size_t i)
+    {
+        const auto& item = waiting[i];
+        const auto& customer = item.request.customer;
+        const auto deadline = item.request.deadline;
+        int order = item.urgency_class == urgency::urgent ? 0 : 2;
+        const bool near =
+            deadline != no_deadline &&
+            deadline - item.expected_run - milliseconds(600'000) <= now;
+        order = order == 2 && near ? 1 : order;
+        const double share = static_cast<double>(used.at(customer)) /
+                             std::max(1, guaranteed.at(customer));
+        const auto last = deadline == no_deadline
+                              ? item.accepted + milliseconds(86'400'000)
+                              : deadline;
+        return std::tuple(order, share, last, item.accepted, i);
+    };
+    std::size_t best = 0;
+    for (std::size_t i = 1; i < waiting.size(); ++i)
+    {
+        best = key(i) < key(best) ? i : best;
+    }
+    return best;
+}
+
+} // namespace
+
+TEST_GROUP(scheduler_rules){};
+
+// Guards against an order other than class, share of the guarantee in use,
+// deadline, arrival.
+TEST(scheduler_rules, order_agrees_with_a_naive_scan)
+{
+    dice random(6);
+    const std::map<std::string, int> guaranteed{
+        {"a", 4}, {"b", 8}, {"c", 0}, {"d", 1}};
+    for (int w = 0; w < worlds; ++w)
+    {
+        scheduler zone("z");
+        zone.set_sheet(
+            plan_of(4, {{"a", "z", 4, 1}, {"b", "z", 8, 1}, {"d", "z", 1, 1}}));
+        add_servers(zone, 1, 4, 8);
+        std::vector<job> waiting;
+        for (int i = 0; i < 20; ++i)
+        {
+            auto item = make_job(std::string(1, "abcd"[random.roll(4)]),
+                                 std::to_string(i),
+                                 1,
+                                 start + milliseconds(random.roll(5)));
+            item.urgency_class =
+                random.chance(30) ? urgency::urgent : urgency::patient;
+            if (random.chance(60))
+            {
+                item = with_deadline(item,
+                                     milliseconds(random.roll(4'000'000)),
+                                     milliseconds(0));
+            }
+            if (!zone.submit(item, start))
+            {
+                waiting.push_back(item);
+            }
+        }
+        std::map<std::string, int> used{{"a", 0}, {"b", 0}, {"c", 0}, {"d", 0}};
+        const auto made = zone.decide(start);
+        CHECK_EQUAL(waiting.size(), made.size());
+        for (const auto& next : made)
+        {
+            CHECK(next.kind == decision_kind::place);
+            const auto i = next_by_scan(waiting, used, guaranteed, start);
+            CHECK_EQUAL(job_id(waiting[i].request), next.job_id);
+            ++used[waiting[i].request.customer];
+            waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+    }
+}
+
+// Guards against a pinned guest in capacity that must be given back, and
+// against a guarantee that cannot be reclaimed from one that can be stopped.
+TEST(scheduler_rules, guarantee_is_reclaimed_within_the_limit)
+{
+    scheduler zone("z");
+    zone.set_sheet(plan_of(2, {{"a", "z", 8, 1}}));
+    add_servers(zone, 1, 2, 8);
+    for (const auto* key : {"1", "2"})
+    {
+        auto guest = make_job("b", key, 8);
+        guest.can_checkpoint = true;
+        zone.submit(guest, start);
+    }
+    CHECK_EQUAL(2U, zone.decide(start).size());
+    zone.submit(make_job("a", "1", 8), start);
+    const auto made = zone.decide(start);
+    CHECK_EQUAL(1U, made.size());
+    CHECK(made[0].kind == decision_kind::preempt);
+    CHECK(made[0].checkpoint);
+    CHECK(made[0].deadline == start + milliseconds(2000));
+    CHECK_EQUAL(std::string("a"), made[0].for_guarantee_of);
+    CHECK(zone.decide(start).empty());
+    zone.requeue(made[0].job_id, "", start);
+    const auto placed = zone.decide(start);
+    CHECK_EQUAL(1U, placed.size());
+    CHECK_EQUAL(std::string("a/1"), placed[0].job_id);
+    CHECK_FALSE(placed[0].borrowed);
+}
+
+// Guards against a job that waits for ever because the guarantees of others
+// fill the availability zone, and against refusing one that has room.
+TEST(scheduler_rules, pinned_job_without_room_never_fits)
+{
+    scheduler zone("z");
+    zone.set_sheet(plan_of(2, {{"a", "z", 8, 1}, {"b", "z", 4, 1}}));
+    CHECK(zone.submit(pinned(make_job("c", "1", 5)), start)->code ==
+          result_code::never_fits);
+    CHECK(!zone.submit(pinned(make_job("c", "2", 4)), start));
+    CHECK(!zone.submit(make_job("c", "3", 5), start));
+    CHECK(!zone.submit(pinned(make_job("a", "1", 8)), start));
+    CHECK(zone.submit(make_job("c", "4", 17), start)->code ==
+          result_code::never_fits);
+    CHECK_EQUAL(3, zone.queued());
+}
+
+// Guards against pinned guests while servers are missing, and against holding
+// back the owners of guarantees.
+TEST(scheduler_rules, missing_servers_hold_back_only_pinned_guests)
+{
+    scheduler zone("z");
+    zone.set_sheet(plan_of(3, {{"a", "z", 8, 2}}));
+    add_servers(zone, 1, 1, 8);
+    CHECK_FALSE(zone.guarantees_reclaimable());
+    zone.submit(pinned(make_job("b", "1", 1)), start);
+    CHECK(zone.decide(start).empty());
+    zone.submit(make_job("a", "1", 4), start);
+    const auto made = zone.decide(start);
+    CHECK_EQUAL(1U, made.size());
+    CHECK_FALSE(made[0].borrowed);
+    add_servers(zone, 1, 3, 8);
+    CHECK(zone.guarantees_reclaimable());
+    CHECK_EQUAL(1U, zone.decide(start).size());
+    CHECK(zone.guarantees_reclaimable());
+}
+
+// Guards against tasks that lose their guarantee when the scheduler changes,
+// also when their servers are claimed one after the other.
+TEST(scheduler_rules, adopted_tasks_run_in_guarantee)
+{
+    scheduler zone("z");
+    zone.set_sheet(plan_of(3, {{"a", "z", 16, 1}, {"b", "z", 8, 1}}));
+    const auto gang = pinned(make_job("a", "1", 16));
+    const std::vector<placement_part> parts{{"s0", 8}, {"s1", 8}};
+    for (int i = 0; i < 3; ++i)
+    {
+        zone.add_server(make_server(i, 3, 8));
+        if (i < 2)
+        {
+            zone.adopt(gang, {&parts[static_cast<std::size_t>(i)], 1}, start);
+        }
+        zone.decide(start);
+    }
+    CHECK(zone.guarantees_reclaimable());
+    CHECK_EQUAL(1, zone.running());
+    const auto usage = zone.usage();
+    CHECK_EQUAL(16, usage[0].in_guarantee);
+    CHECK_EQUAL(8, usage[1].reclaimable);
+    zone.on_ended("a/1", true, start);
+    CHECK_EQUAL(24, zone.free_accelerators());
+    CHECK_EQUAL(16, zone.usage()[0].reclaimable);
+}
+
+// Guards against "not run" for a job that may have run.
+TEST(scheduler_rules, sheds_only_jobs_that_were_never_placed)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 1, 8);
+    const milliseconds run(10'000);
+    CHECK(zone.submit(with_deadline(make_job("a", "0", 8), run / 2, run), start)
+              ->code == result_code::shed);
+    zone.submit(with_deadline(make_job("a", "1", 8), 2 * run, run), start);
+    CHECK_EQUAL(1U, zone.decide(start).size());
+    zone.requeue("a/1", "", start);
+    zone.set_open(false);
+    zone.submit(with_deadline(make_job("a", "2", 8), 2 * run, run), start);
+    CHECK(zone.decide(start).empty());
+    CHECK(zone.next_wake() == start + run + milliseconds(1));
+    CHECK(zone.decide(start + run).empty());
+    const auto made = zone.decide(zone.next_wake());
+    CHECK_EQUAL(1U, made.size());
+    CHECK(made[0].kind == decision_kind::refuse);
+    CHECK(made[0].code == result_code::shed);
+    CHECK_EQUAL(std::string("a/2"), made[0].job_id);
+    CHECK_EQUAL(1, zone.queued());
+}
+
+// Guards against a customer that exceeds its quota or its queue.
+TEST(scheduler_rules, quota_and_queue_are_bounded)
+{
+    scheduler zone("z");
+    auto plan = plan_of(2, {});
+    plan.customers[0] = {"a", 6, 2};
+    zone.set_sheet(plan);
+    add_servers(zone, 1, 2, 8);
+    zone.submit(make_job("a", "1", 4), start);
+    zone.submit(make_job("a", "2", 4), start);
+    CHECK(zone.submit(make_job("a", "3", 1), start)->code ==
+          result_code::queue_full);
+    CHECK(zone.submit(make_job("a", "4", 7), start)->code ==
+          result_code::never_fits);
+    CHECK_EQUAL(1U, zone.decide(start).size());
+    CHECK(zone.explain("a/2").find("quota") != std::string::npos);
+    zone.on_ended("a/1", true, start);
+    CHECK_EQUAL(1U, zone.decide(start).size());
+}
+
+// Guards against a start in a closed availability zone.
+TEST(scheduler_rules, closed_zone_starts_nothing)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 1, 8);
+    zone.set_open(false);
+    zone.submit(urgent(make_job("a", "1", 1)), start);
+    CHECK(zone.decide(start).empty());
+    zone.set_open(true);
+    CHECK_EQUAL(1U, zone.decide(start).size());
+}
+
+// Guards against an urgent job that waits behind patient guests, and against
+// preempting for a patient one.
+TEST(scheduler_rules, urgent_job_preempts_patient_guest)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 1, 8);
+    zone.submit(make_job("a", "1", 8), start);
+    zone.decide(start);
+    zone.submit(make_job("b", "1", 8), start);
+    CHECK(zone.decide(start).empty());
+    zone.submit(urgent(make_job("c", "1", 2)), start);
+    const auto made = zone.decide(start);
+    CHECK_EQUAL(1U, made.size());
+    CHECK_EQUAL(std::string("a/1"), made[0].job_id);
+    CHECK_EQUAL(std::string("c/1"), made[0].for_job);
+    zone.requeue("a/1", "", start);
+    CHECK_EQUAL(std::string("c/1"), zone.decide(start).front().job_id);
+}
+
+// Guards against a server that fails every task and keeps getting new ones,
+// and against one that never comes back.
+TEST(scheduler_rules, failing_server_is_excluded_and_probed)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 2, 8);
+    auto now = start;
+    int key = 0;
+    const auto place = [&](int count)
+    {
+        auto item = make_job("a", std::to_string(++key), count, now);
+        zone.submit(item, now);
+        const auto made = zone.decide(now);
+        return made.empty() ? placement_part{} : made[0].parts[0];
+    };
+    const auto id = [&]
+    {
+        return "a/" + std::to_string(key);
+    };
+    for (int i = 0; i < 3; ++i)
+    {
+        CHECK_EQUAL(std::string("s0"), place(1).server);
+        zone.on_ended(id(), false, now);
+    }
+    CHECK_EQUAL(8, zone.free_accelerators());
+    CHECK_EQUAL(std::string("s1"), place(1).server);
+    now += milliseconds(5000);
+    CHECK(zone.next_wake() == now);
+    CHECK_EQUAL(std::string("s0"), place(1).server);
+    const auto probe = id();
+    CHECK_EQUAL(std::string("s1"), place(1).server);
+    zone.on_ended(probe, false, now);
+    zone.decide(now);
+    CHECK(zone.next_wake() == now + milliseconds(10'000));
+    now += milliseconds(10'000);
+    CHECK_EQUAL(std::string("s0"), place(1).server);
+    zone.on_started(id(), now);
+    zone.on_ended(id(), true, now);
+    CHECK_EQUAL(14, zone.free_accelerators());
+}
+
+// Guards against excluding servers for what their tasks did not cause: a burst
+// of cancellations, or one kind that fails everywhere.
+TEST(scheduler_rules, healthy_servers_stay)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 8, 8);
+    int key = 0;
+    const auto fail = [&](bool cancelled)
+    {
+        zone.submit(make_job("a", std::to_string(++key), 8), start);
+        zone.decide(start);
+        const auto id = "a/" + std::to_string(key);
+        if (cancelled)
+        {
+            CHECK_FALSE(zone.cancel(id));
+        }
+        zone.on_ended(id, false, start);
+    };
+    for (int i = 0; i < 20; ++i)
+    {
+        fail(true);
+    }
+    CHECK_EQUAL(64, zone.free_accelerators());
+    for (int i = 0; i < 100; ++i)
+    {
+        fail(false);
+    }
+    CHECK(zone.free_accelerators() >= 48);
+}
+
+// Guards against declared run times that are believed against experience.
+TEST(scheduler_rules, learns_run_times)
+{
+    scheduler zone("z");
+    add_servers(zone, 1, 1, 8);
+    auto now = start;
+    const milliseconds declared(1000);
+    const milliseconds real(60'000);
+    const auto submit = [&](int key)
+    {
+        auto item = make_job("a", std::to_string(key), 1, now);
+        return zone.submit(with_deadline(item, 20 * declared, declared), now);
+    };
+    for (int i = 0; i < 10; ++i)
+    {
+        CHECK_FALSE(submit(i).has_value() && i < 4);
+        for (const auto& made : zone.decide(now))
+        {
+            zone.on_started(made.job_id, now);
+            zone.on_ended(made.job_id, true, now + real);
+        }
+        now += real;
+    }
+    CHECK(submit(100)->code == result_code::shed);
+}
