--- a/measure/process_figures.cpp
+++ b/measure/process_figures.cpp
@@ -137,6 +137,8 @@
     direct_path direct(caller, processes.spare_backend);
     std::vector<double> direct_ms;
     std::vector<double> path_ms;
+    direct_ms.reserve(path_calls);
+    path_ms.reserve(path_calls);
     int failed = 0;
     for (int i = 0; i < path_calls; ++i)
     {
@@ -195,6 +197,7 @@
 {
     sync_caller caller;
     std::vector<double> times;
+    times.reserve(config_changes);
     int pending = 0;
     const std::string zone = processes.entries.back().zone;
     for (int i = 0; i < config_changes; ++i)
@@ -433,6 +436,7 @@
             zones.push_back(entry.zone);
         }
     }
+    times.reserve(zones.size());
     // The first entry VM answers the questions and must live longest.
     std::reverse(zones.begin(), zones.end());
     for (const auto& zone : zones)
--- a/measure/trace.cpp
+++ b/measure/trace.cpp
@@ -207,6 +207,7 @@
     constexpr double mean_run_ms = 600'000;
     std::mt19937_64 random(seed);
     std::vector<trace_job> jobs;
+    jobs.reserve(static_cast<std::size_t>(running) * 2);
     const auto& slot = place.plan.kinds[2];
     int number = 0;
     const double gap = mean_run_ms / running;
--- a/tests/zone_leases_test.cpp
+++ b/tests/zone_leases_test.cpp
@@ -23,17 +23,18 @@
     backend_api api()
     {
         backend_api result;
-        result.claim = [this](std::string,
-                              std::string,
+        result.claim = [this](const std::string&,
+                              const std::string&,
                               milliseconds,
                               time_point,
                               std::function<void(claim_reply)> done)
         {
             claim_done = std::move(done);
         };
-        result.renew =
-            [this](
-                std::string, renew_request request, time_point, renew_done done)
+        result.renew = [this](const std::string&,
+                              renew_request request,
+                              time_point,
+                              renew_done done)
         {
             polls.push_back(std::move(request));
             answers.push_back(std::move(done));
