Let jobs that can checkpoint borrow the tightest place

Cause: guests took capacity outside occupied blocks first, which spread small jobs over servers that could have held a large shape.

Ruled out: keeping that order for all jobs, and dropping it for all: a job that cannot checkpoint loses its work when the owner of the block comes back.

Change: only jobs that cannot checkpoint prefer capacity outside blocks.

--- a/src/policy/planner.cpp
+++ b/src/policy/planner.cpp
@@ -559,10 +559,15 @@
         return server < 0 ? std::nullopt
                           : std::optional<part_list>(part_list{{server, 0}});
     }
-    // Capacity that occupied blocks lend is the second choice: their owner may
-    // take it back at any time.
+    // Capacity that occupied blocks lend is the second choice of a job that
+    // cannot checkpoint: their owner may take it back at any time. Others take
+    // the tightest place, so that large shapes stay open.
     for (const bool lent : {false, true})
     {
+        if (!lent && need.can_checkpoint)
+        {
+            continue;
+        }
         const auto room = [&](int server)
         {
             if (!open_to(need, server, urgent_first))
