Refuse queued jobs that a new sheet leaves no room for

Cause: a property test with lost servers, failures, adoptions and changing guarantees ended with jobs queued for ever: they had been accepted under a sheet with fewer guarantees, and being pinned they may not borrow.

A changed sheet now rechecks the queue and refuses jobs that were never placed with `never_fits`. Ruled out: placing them against the guarantees. Jobs that were placed before stay queued, because "not run" would be wrong for them; for the same reason `submit` does not refuse a job with attempts.

--- a/src/policy/decision_round.cpp
+++ b/src/policy/decision_round.cpp
@@ -18,6 +18,7 @@
 std::vector<decision> decision_round::run()
 {
     ready_probes();
+    refuse_unfit();
     shed();
     raise();
     if (!zone_.open)
@@ -63,13 +64,45 @@
             zone_.latest_starts.set(number, latest);
             continue;
         }
-        decision made;
-        made.kind = decision_kind::refuse;
-        made.job_id = entry.id;
-        made.code = result_code::shed;
-        made.reason = "the deadline cannot be met any more; not run";
-        made_.push_back(std::move(made));
-        zone_.forget(entry);
+        refuse(entry,
+               {result_code::shed, "the deadline cannot be met any more"});
+    }
+}
+
+// Precondition: the job was never placed.
+void decision_round::refuse(job_entry& entry, failure why)
+{
+    decision made;
+    made.kind = decision_kind::refuse;
+    made.job_id = entry.id;
+    made.code = why.code;
+    made.reason = std::move(why.reason);
+    made_.push_back(std::move(made));
+    zone_.forget(entry);
+}
+
+// Refuses queued jobs for which a new sheet has no room.
+void decision_round::refuse_unfit()
+{
+    if (!std::exchange(zone_.recheck_fit, false))
+    {
+        return;
+    }
+    std::vector<std::int64_t> numbers;
+    numbers.reserve(zone_.queue.items().size());
+    for (const auto& [number, item] : zone_.queue.items())
+    {
+        numbers.push_back(number);
+    }
+    for (const auto number : numbers)
+    {
+        auto& entry = zone_.jobs.at(number);
+        auto why =
+            entry.was_placed ? std::nullopt : zone_.never_fits(entry.item);
+        if (why)
+        {
+            refuse(entry, std::move(*why));
+        }
     }
 }
 
--- a/src/policy/decision_round.hpp
+++ b/src/policy/decision_round.hpp
@@ -39,6 +39,8 @@
     using class_lanes = std::map<std::string, customer_lanes>;
 
     void ready_probes();
+    void refuse(job_entry& entry, failure why);
+    void refuse_unfit();
     void shed();
     void raise();
     void prepare_blocks();
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -41,7 +41,6 @@
     using zone_state::zone_state;
 
     std::optional<failure> refusal(const job& item, time_point now);
-    std::optional<failure> never_fits(const job& item);
     void server_failed(int server, const job_entry& entry, time_point now);
     void
     widen_adopted(job_entry& entry, const part_list& parts, time_point now);
@@ -50,43 +49,15 @@
     std::string wait_text(const job_entry& entry) const;
 };
 
-std::optional<failure> scheduler::state::never_fits(const job& item)
-{
-    const int wanted = item.request.accelerators;
-    if (wanted < 0 || wanted > largest_shape)
-    {
-        return failure{result_code::never_fits,
-                       "accelerators must be from 0 to 256"};
-    }
-    if (wanted > planned_accelerators)
-    {
-        return failure{result_code::never_fits,
-                       "availability zone " + zone + " has " +
-                           std::to_string(planned_accelerators) +
-                           " accelerators"};
-    }
-    const auto owner = customers.find(item.request.customer);
-    const int quota =
-        owner == customers.end() ? 0 : owner->second.quota_accelerators;
-    if (quota > 0 && wanted > quota)
-    {
-        return failure{result_code::never_fits,
-                       "the customer's quota is " + std::to_string(quota) +
-                           " accelerators"};
-    }
-    if (is_pinned(item) &&
-        never_beside_guarantees(item.request.customer, wanted))
-    {
-        return failure{result_code::never_fits,
-                       "the job cannot be stopped, and the guarantees of "
-                       "others leave no room for it"};
-    }
-    return std::nullopt;
-}
-
 std::optional<failure> scheduler::state::refusal(const job& item,
                                                  time_point now)
 {
+    if (!item.attempts.empty())
+    {
+        // It may have run, for instance before a failover; "not run" would be
+        // wrong.
+        return std::nullopt;
+    }
     if (auto refused = never_fits(item))
     {
         return refused;
@@ -95,7 +66,7 @@
         item.request.customer, item.request.kind, short_run, item.expected_run);
     const bool late = item.request.deadline != no_deadline &&
                       item.request.deadline - shortest < now;
-    if (late && item.attempts.empty())
+    if (late)
     {
         return failure{result_code::shed,
                        "the deadline cannot be met: the run takes " +
--- a/src/policy/scheduler.hpp
+++ b/src/policy/scheduler.hpp
@@ -99,7 +99,8 @@
     std::vector<std::string> remove_server(std::string_view server);
 
     // Queues a job. Returns why it is refused at once: `never_fits`,
-    // `queue_full`, `shed`. A repeated submit of a known job does nothing.
+    // `queue_full`, `shed`. A job with attempts is not refused. A repeated
+    // submit of a known job does nothing.
     std::optional<failure> submit(const job& item, time_point now);
 
     // Takes over a job that runs already, as the backend servers report it.
--- a/src/policy/zone_state.cpp
+++ b/src/policy/zone_state.cpp
@@ -79,6 +79,7 @@
     plan = next;
     read_customers();
     read_zone();
+    recheck_fit = true;
     if (counts_for(plan, zone) != book.counts())
     {
         rebuild();
@@ -161,6 +162,40 @@
            quota;
 }
 
+std::optional<failure> zone_state::never_fits(const job& item)
+{
+    const int wanted = item.request.accelerators;
+    if (wanted < 0 || wanted > largest_shape)
+    {
+        return failure{result_code::never_fits,
+                       "accelerators must be from 0 to 256"};
+    }
+    if (wanted > planned_accelerators)
+    {
+        return failure{result_code::never_fits,
+                       "availability zone " + zone + " has " +
+                           std::to_string(planned_accelerators) +
+                           " accelerators"};
+    }
+    const auto owner = customers.find(item.request.customer);
+    const int quota =
+        owner == customers.end() ? 0 : owner->second.quota_accelerators;
+    if (quota > 0 && wanted > quota)
+    {
+        return failure{result_code::never_fits,
+                       "the customer's quota is " + std::to_string(quota) +
+                           " accelerators"};
+    }
+    if (is_pinned(item) &&
+        never_beside_guarantees(item.request.customer, wanted))
+    {
+        return failure{result_code::never_fits,
+                       "the job cannot be stopped, and the guarantees of "
+                       "others leave no room for it"};
+    }
+    return std::nullopt;
+}
+
 // Only for shapes within one server, where packing is exact.
 bool zone_state::never_beside_guarantees(const std::string& customer,
                                          int accelerators)
--- a/src/policy/zone_state.hpp
+++ b/src/policy/zone_state.hpp
@@ -17,6 +17,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -90,6 +91,8 @@
     std::vector<capacity> planned_servers;
     std::map<int, bool> fits_beside_guarantees;
     bool open = true;
+    // The sheet has changed; queued jobs may never fit now.
+    bool recheck_fit = false;
 
     cluster servers;
     guarantee_book book;
@@ -128,6 +131,8 @@
     void set_sheet(const sheet& next);
     span_limits limits() const;
     bool over_quota(const job_entry& entry) const;
+    // Why the job can never run under the sheet; nothing if it may.
+    std::optional<failure> never_fits(const job& item);
     // True if the sheet leaves no room, ever, for a pinned job of the customer.
     bool never_beside_guarantees(const std::string& customer, int accelerators);
     customer_share share_of(const std::string& customer) const;
--- a/tests/policy_rules_test.cpp
+++ b/tests/policy_rules_test.cpp
@@ -174,6 +174,11 @@
     CHECK(zone.submit(make_job("c", "4", 17), start)->code ==
           result_code::never_fits);
     CHECK_EQUAL(3, zone.queued());
+    zone.set_sheet(plan_of(2, {{"a", "z", 8, 1}, {"b", "z", 8, 1}}));
+    const auto made = zone.decide(start);
+    CHECK_EQUAL(1U, made.size());
+    CHECK(made[0].kind == decision_kind::refuse);
+    CHECK_EQUAL(std::string("c/2"), made[0].job_id);
 }
 
 // Guards against pinned guests while servers are missing, and against holding
@@ -231,6 +236,10 @@
     const milliseconds run(10'000);
     CHECK(zone.submit(with_deadline(make_job("a", "0", 8), run / 2, run), start)
               ->code == result_code::shed);
+    auto tried = with_deadline(make_job("a", "3", 8), run / 2, run);
+    tried.attempts.resize(1);
+    CHECK(!zone.submit(tried, start));
+    CHECK(zone.cancel("a/3"));
     zone.submit(with_deadline(make_job("a", "1", 8), 2 * run, run), start);
     CHECK_EQUAL(1U, zone.decide(start).size());
     zone.requeue("a/1", "", start);
