Keep a freed block for a job that fills it

Cause: when a block became free, a borrowed task of two accelerators took the block of eight at once, and the customer's waiting job of eight waited for it.

A task that needs less than half of a block now opens it only after adoption, where it may have been in guarantee before. Ruled out: placing queued jobs before moving tasks into blocks, because running tasks of the full shape would lose their protection meanwhile.

Before: the new test fails.

--- a/src/policy/decision_round.cpp
+++ b/src/policy/decision_round.cpp
@@ -126,9 +126,9 @@
         zone_.rebuild();
     }
     const auto customers = std::exchange(zone_.to_promote, {});
-    for (const auto& customer : customers)
+    for (const auto& [customer, adopted] : customers)
     {
-        zone_.promote(customer);
+        zone_.promote(customer, adopted);
     }
 }
 
--- a/src/policy/zone_state.cpp
+++ b/src/policy/zone_state.cpp
@@ -385,7 +385,7 @@
     if (in_guarantee)
     {
         book.leave(servers, entry.number);
-        to_promote.insert(entry.customer());
+        to_promote.emplace(entry.customer(), false);
     }
     else if (is_pinned(entry.item))
     {
@@ -507,7 +507,7 @@
     place(entry, found, now);
     entry.running = true;
     book.invalidate();
-    to_promote.insert(entry.customer());
+    to_promote[entry.customer()] = true;
     servers_changed();
 }
 
@@ -569,43 +569,57 @@
     book.set_counts(counts_for(plan, zone));
     for (const auto& [customer, mine] : accounts)
     {
-        promote(customer);
+        promote(customer, true);
     }
     to_promote.clear();
     rebuild_blocks = false;
     ++version;
 }
 
-// Pinned tasks first, which hold their capacity in any case, then the largest.
-void zone_state::promote(const std::string& customer)
+// Pinned tasks first, which hold their capacity in any case, then those with
+// the most of their customer beside them, who can share a block, then the
+// largest.
+std::vector<const placed_task*>
+zone_state::promotion_order(const std::string& customer)
 {
-    if (!book.has_blocks(customer))
-    {
-        return;
-    }
     std::vector<const placed_task*> order;
+    std::map<int, int> on_server;
     for (const auto number : accounts[customer].borrowed_tasks)
     {
         const auto* task = servers.find_task(number);
         if (task->accelerators > 0 && !task->stopping)
         {
             order.push_back(task);
+            on_server[task->parts.front().server] += task->accelerators;
         }
     }
+    const auto key = [&](const placed_task* task)
+    {
+        return std::tuple(!task->pinned,
+                          -on_server[task->parts.front().server],
+                          -task->accelerators,
+                          task->number);
+    };
     std::sort(order.begin(),
               order.end(),
-              [](const placed_task* a, const placed_task* b)
-              {
-                  return std::tuple(!a->pinned, -a->accelerators, a->number) <
-                         std::tuple(!b->pinned, -b->accelerators, b->number);
-              });
-    for (const auto* task : order)
+              [&](const placed_task* a, const placed_task* b)
+              { return key(a) < key(b); });
+    return order;
+}
+
+void zone_state::promote(const std::string& customer, bool adopted)
+{
+    if (!book.has_blocks(customer))
+    {
+        return;
+    }
+    for (const auto* task : promotion_order(customer))
     {
-        promote_task(task->number);
+        promote_task(task->number, adopted);
     }
 }
 
-bool zone_state::promote_task(std::int64_t number)
+bool zone_state::promote_task(std::int64_t number, bool adopted)
 {
     const auto& task = *servers.find_task(number);
     for (const int block_number : book.blocks_of(task.customer))
@@ -618,8 +632,9 @@
     }
     for (const auto& [owner, count] : book.counts())
     {
+        const bool fills = owner.second == shape_of(task.accelerators);
         if (owner.first != task.customer || owner.second < task.accelerators ||
-            book.floating(owner) <= 0)
+            book.floating(owner) <= 0 || (!fills && !adopted))
         {
             continue;
         }
--- a/src/policy/zone_state.hpp
+++ b/src/policy/zone_state.hpp
@@ -117,8 +117,9 @@
     std::uint64_t holders_tried_at = 0;
     time_point next_reservation_check{};
 
-    // Customers whose borrowed tasks may fit in blocks of their own now.
-    std::set<std::string> to_promote;
+    // Customers whose borrowed tasks may fit in blocks of their own now, and
+    // whether because tasks were adopted.
+    std::map<std::string, bool> to_promote;
     bool rebuild_blocks = false;
 
     job_entry* find(std::string_view id);
@@ -154,7 +155,11 @@
     void release(job_entry& entry);
 
     // Blocks.
-    void promote(const std::string& customer);
+    // Moves borrowed tasks into blocks of their customer. Opens a block for a
+    // task that needs less than half of it only if `adopted`: otherwise a
+    // small guest would take the block that a waiting job needs, while an
+    // adopted task may have been in guarantee before.
+    void promote(const std::string& customer, bool adopted);
     void rebuild();
     void servers_changed();
 
@@ -170,7 +175,9 @@
     placed_task
     task_of(const job_entry& entry, part_list parts, time_point now) const;
     void account(const job_entry& entry, bool in_guarantee, int sign);
-    bool promote_task(std::int64_t number);
+    std::vector<const placed_task*>
+    promotion_order(const std::string& customer);
+    bool promote_task(std::int64_t number, bool adopted);
     bool promote_into(const placed_task& task, int block_number);
     bool promote_at(const placed_task& task,
                     const guarantee_key& owner,
--- a/tests/policy_rules_test.cpp
+++ b/tests/policy_rules_test.cpp
@@ -228,6 +228,25 @@
     CHECK_EQUAL(16, zone.usage()[0].reclaimable);
 }
 
+// Guards against a small guest that takes the block a waiting job needs.
+TEST(scheduler_rules, small_guest_does_not_take_a_freed_block)
+{
+    scheduler zone("z");
+    zone.set_sheet(plan_of(2, {{"a", "z", 8, 1}}));
+    add_servers(zone, 1, 2, 8);
+    zone.submit(make_job("a", "1", 8), start);
+    CHECK_EQUAL(1U, zone.decide(start).size());
+    zone.submit(make_job("a", "2", 2), start);
+    zone.submit(make_job("b", "1", 6), start);
+    CHECK_EQUAL(2U, zone.decide(start).size());
+    zone.submit(make_job("a", "3", 8), start);
+    zone.on_ended("a/1", true, start);
+    const auto made = zone.decide(start);
+    CHECK_EQUAL(1U, made.size());
+    CHECK_EQUAL(std::string("a/3"), made[0].job_id);
+    CHECK_FALSE(made[0].borrowed);
+}
+
 // Guards against "not run" for a job that may have run.
 TEST(scheduler_rules, sheds_only_jobs_that_were_never_placed)
 {
