--- a/tests/policy_rules_test.cpp
+++ b/tests/policy_rules_test.cpp
@@ -189,6 +189,11 @@
     CHECK(zone.submit(make_job("c", "4", 17), start)->code ==
           result_code::never_fits);
     CHECK_EQUAL(3, zone.queued());
+    zone.set_sheet(plan_of(2, {{"a", "z", 8, 1}, {"b", "z", 8, 1}}));
+    const auto made = zone.decide(start);
+    CHECK_EQUAL(1U, made.size());
+    CHECK(made[0].kind == decision_kind::refuse);
+    CHECK_EQUAL(std::string("c/2"), made[0].job_id);
 }
 
 // Guards against pinned guests while servers are missing, and against holding
@@ -238,6 +243,25 @@
     CHECK_EQUAL(16, zone.usage()[0].reclaimable);
 }
 
+// Guards against a small guest that takes the block a waiting job needs.
+TEST(scheduler_rules, small_guest_does_not_take_a_freed_block)
+{
+    scheduler zone("z");
+    zone.set_sheet(plan_of(2, {{"a", "z", 8, 1}}));
+    add_servers(zone, 1, 2, 8);
+    zone.submit(make_job("a", "1", 8), start);
+    CHECK_EQUAL(1U, zone.decide(start).size());
+    zone.submit(make_job("a", "2", 2), start);
+    zone.submit(make_job("b", "1", 6), start);
+    CHECK_EQUAL(2U, zone.decide(start).size());
+    zone.submit(make_job("a", "3", 8), start);
+    zone.on_ended("a/1", true, start);
+    const auto made = zone.decide(start);
+    CHECK_EQUAL(1U, made.size());
+    CHECK_EQUAL(std::string("a/3"), made[0].job_id);
+    CHECK_FALSE(made[0].borrowed);
+}
+
 // Guards against "not run" for a job that may have run, and against shedding by
 // a declared run time, which is often off by a factor of three.
 TEST(scheduler_rules, sheds_only_jobs_that_were_never_placed)
@@ -253,6 +277,10 @@
     teach_run(zone, "a", run);
     CHECK(zone.submit(with_deadline(make_job("a", "0", 8), run / 2, run), start)
               ->code == result_code::shed);
+    auto tried = with_deadline(make_job("a", "3", 8), run / 2, run);
+    tried.attempts.resize(1);
+    CHECK(!zone.submit(tried, start));
+    CHECK(zone.cancel("a/3"));
     zone.submit(with_deadline(make_job("a", "1", 8), 2 * run, run), start);
     CHECK_EQUAL(1U, zone.decide(start).size());
     zone.requeue("a/1", "", start);
