--- a/src/control/zone_core.cpp
+++ b/src/control/zone_core.cpp
@@ -37,7 +37,8 @@
     };
     hooks.on_leaving = [&core](const std::string& server, bool leaving)
     {
-        const bool held = core.leases.may_act(server).has_value();
+        const auto* lease = core.leases.find(server);
+        const bool held = lease && lease->phase == lease_phase::held;
         core.policy->set_placeable(server, held && !leaving);
     };
     return hooks;
--- a/src/control/zone_queue.cpp
+++ b/src/control/zone_queue.cpp
@@ -104,6 +104,11 @@
         decide();
         return {};
     }
+    if (entry->placed)
+    {
+        // The attempt may be recorded, but nothing was sent.
+        entry->not_run_up_to = entry->attempt;
+    }
     ++entry->serial;
     withdraw(entry);
     conclude(entry, {result_code::cancelled, "cancelled in the queue"});
