Keep a change that lost a race out of force

Cause: two operators who took different availability zones out at once left both out of service, while one of them was answered `conflict`. The winner's write contained every provisional closing it knew, the loser's too. Ruled out: leaving closings out of other writes altogether, because a newer configuration without them ends closings whose operator was answered `pending`.

A closing now says whether its operator was answered `pending`. Later changes contain closings that are promised in this way or older than 6 s, when their operator must have been answered; the others are in a race and win or lose as a whole. The racing test compares the state with the winner's change for 16 pairs of changes at 14 delays each. It failed before the change; the test of a sheet during an outage fails without the promise.

--- a/src/control/config_change.cpp
+++ b/src/control/config_change.cpp
@@ -86,7 +86,7 @@
     ++closing_rounds_;
     closing_base_ = hooks_.view->current().version;
     const provisional_closing closing{
-        edit_.closed_zone, edit_.changed_by, closing_base_};
+        edit_.closed_zone, edit_.changed_by, closing_base_, false};
     hooks_.view->add_closing(closing, hooks_.now());
     hooks_.on_view_changed();
     const auto peers = hooks_.members->must_confirm(hooks_.now());
@@ -173,8 +173,11 @@
         return;
     }
     // Provisional closings of other operators would end with a newer
-    // configuration that does not contain them.
-    for (const auto& closing : hooks_.view->closings())
+    // configuration that does not contain them. One whose operator is still at
+    // work is left out: it is in a race with this change, and loses or wins.
+    const auto promised =
+        hooks_.view->promised_closings(hooks_.now() - closing_take_over);
+    for (const auto& closing : promised)
     {
         if (closing.zone != edit_.opened_zone &&
             find_zone(target_.plan, closing.zone) != nullptr)
@@ -288,6 +291,7 @@
 {
     if (!edit_.closed_zone.empty())
     {
+        promise_closing();
         finish(
             {result_code::pending,
              "closed where it was confirmed, but not yet durable: " + reason});
@@ -303,6 +307,26 @@
     finish({result_code::store_unavailable, "nothing was changed: " + reason});
 }
 
+// Tells every entry VM that the operator counts on the closing.
+void config_change::promise_closing()
+{
+    if (edit_.background)
+    {
+        return;
+    }
+    const provisional_closing closing{
+        edit_.closed_zone, edit_.changed_by, closing_base_, true};
+    hooks_.view->add_closing(closing, hooks_.now());
+    for (const auto& peer : hooks_.members->must_confirm(hooks_.now()))
+    {
+        // A lost message is made up for by heartbeats.
+        hooks_.peers.close_zone(peer.address,
+                                closing,
+                                hooks_.now() + closing_limit,
+                                [](const failure&) {});
+    }
+}
+
 void config_change::push()
 {
     adopt(target_);
--- a/src/control/config_change.hpp
+++ b/src/control/config_change.hpp
@@ -22,6 +22,10 @@
 namespace poplarramp
 {
 
+// An operator's own entry VM works on a closing for 5 s. After this time other
+// entry VMs make it durable.
+constexpr milliseconds closing_take_over{6000};
+
 struct config_change_hooks
 {
     table store;
@@ -71,6 +75,7 @@
     void lose(const config_row& winner);
     void on_store_error(const failure& error);
     void give_up(const std::string& reason);
+    void promise_closing();
     void push();
     void check_confirmations();
     void finish(failure error);
--- a/src/control/config_state.cpp
+++ b/src/control/config_state.cpp
@@ -68,12 +68,19 @@
         closings_.emplace(closing.zone, held_closing{closing, now});
         return true;
     }
-    if (known->second.closing.base_version >= closing.base_version)
+    auto& held = known->second.closing;
+    const bool newly_pending = closing.pending && !held.pending;
+    if (held.base_version < closing.base_version)
     {
-        return false;
+        held = closing;
+        return true;
     }
-    known->second.closing = closing;
-    return true;
+    if (held.base_version == closing.base_version && newly_pending)
+    {
+        held.pending = true;
+        return true;
+    }
+    return false;
 }
 
 std::vector<provisional_closing> config_state::closings() const
@@ -95,6 +102,20 @@
     return result;
 }
 
+std::vector<provisional_closing>
+config_state::promised_closings(time_point since) const
+{
+    std::vector<provisional_closing> result;
+    for (const auto& [zone, held] : closings_)
+    {
+        if (held.closing.pending || held.since <= since)
+        {
+            result.push_back(held.closing);
+        }
+    }
+    return result;
+}
+
 bool config_state::is_open(std::string_view zone) const
 {
     return is_in_service(current_, zone) && !closings_.contains(zone);
--- a/src/control/config_state.hpp
+++ b/src/control/config_state.hpp
@@ -33,6 +33,10 @@
     // is known, or there are too many.
     bool add_closing(const provisional_closing& closing, time_point now);
     std::vector<provisional_closing> closings() const;
+    // Closings that a change made by somebody else must contain: their operator
+    // was answered `pending`, or must have been, since they have been known
+    // since `since` or longer.
+    std::vector<provisional_closing> promised_closings(time_point since) const;
     // Closings that have been known since `since` or longer.
     std::vector<provisional_closing> closings_since(time_point since) const;
 
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -29,9 +29,7 @@
 // A cancellation is answered with the outcome if the job ends within this.
 constexpr milliseconds cancel_wait{5000};
 
-// An operator's own entry VM writes the closing for 5 s; others take it over
-// after that. The random part keeps them from all writing at once.
-constexpr milliseconds take_over_after{6000};
+// Keeps entry VMs from all taking a closing over at once.
 constexpr std::uint64_t take_over_spread_ms = 2000;
 constexpr milliseconds background_interval{1000};
 
@@ -101,7 +99,7 @@
     std::shared_ptr<submission> submissions;
     std::vector<std::shared_ptr<config_change>> changes;
     time_point next_background{};
-    milliseconds take_over_delay{take_over_after};
+    milliseconds take_over_delay{closing_take_over};
     // Operators' requests that have not been answered.
     int open_changes = 0;
     int open_reads = 0;
--- a/src/inner/message_codec.cpp
+++ b/src/inner/message_codec.cpp
@@ -107,7 +107,8 @@
 {
     reader.read("zone", closing.zone)
         .read("changed_by", closing.changed_by)
-        .read("base_version", closing.base_version);
+        .read("base_version", closing.base_version)
+        .read("pending", closing.pending);
 }
 
 template <class Row>
@@ -153,6 +154,7 @@
     json["zone"] = closing.zone;
     json["changed_by"] = closing.changed_by;
     json["base_version"] = to_json(closing.base_version);
+    json["pending"] = closing.pending;
     return json;
 }
 
--- a/src/inner/peer_api.hpp
+++ b/src/inner/peer_api.hpp
@@ -24,6 +24,9 @@
     // Configuration version on which the operator acted. A configuration with a
     // higher version that has the availability zone open ends the closing.
     std::uint64_t base_version = 0;
+    // The operator was answered `pending`: every later change must contain the
+    // closing. Before that, a change by somebody else may still defeat it.
+    bool pending = false;
 };
 
 struct heartbeat
--- a/tests/control_config_test.cpp
+++ b/tests/control_config_test.cpp
@@ -65,6 +65,11 @@
         control.apply_sheet(plan, 0, who, done(world, by));
         return;
     }
+    if (operation == "out b")
+    {
+        control.set_zone("b", zone_state::out, who, done(world, by));
+        return;
+    }
     control.set_zone("a",
                      operation == "out" ? zone_state::out : zone_state::open,
                      who,
@@ -314,6 +319,15 @@
     CHECK(loser.replies[0].error.reason == std::string("changed by ") +
                                                (one_won ? "one" : "two") +
                                                " to version 6");
+    const auto& defeated = one_won ? second : first;
+    const auto& won = one_won ? first : second;
+    const bool a_out = is_out(row);
+    const bool b_out = row.zones.at("b") == zone_state::out;
+    at += ": " + defeated + " lost but is in force";
+    CHECK_TEXT(a_out == (won == "out") && b_out == (won == "out b"),
+               at.c_str());
+    CHECK_TEXT(world.vm("a1").scheduler.open == !a_out, at.c_str());
+    CHECK_TEXT(world.vm("b1").scheduler.open == !b_out, at.c_str());
     return 1;
 }
 
@@ -338,11 +352,11 @@
     }
 }
 
-// Guards against two operators who are both told that they won, and a loser who
-// is not told by whom.
+// Guards against two operators who are both told that they won, a loser who is
+// not told by whom, and a change that lost but is in force.
 TEST(control_config, exactly_one_of_two_racing_operators_wins)
 {
-    const std::vector<std::string> operations{"out", "back", "sheet"};
+    const std::vector<std::string> operations{"out", "back", "sheet", "out b"};
     int races = 0;
     for (const auto& first : operations)
     {
--- a/tests/inner_protocol_test.cpp
+++ b/tests/inner_protocol_test.cpp
@@ -42,7 +42,7 @@
     message.sequence = 18'000'000'000'000'000'000ULL;
     message.leaving = true;
     message.config_version = 9;
-    message.closings = {{"b", "operator", 8}};
+    message.closings = {{"b", "operator", 8, true}};
     message.scheduler = "a2";
     message.scheduler_address = "127.0.0.1:7002";
     return message;
@@ -200,7 +200,8 @@
     CHECK(pulled.config.version == 6);
     CHECK(pulled.config.zones.at("a") == zone_state::out);
 
-    client.close_zone("x", {"a", "operator", 5}, limit, [](const failure&) {});
+    client.close_zone(
+        "x", {"a", "operator", 5, false}, limit, [](const failure&) {});
     CHECK(closings.at(0).changed_by == "operator");
 
     failure cancelled;
