--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -235,14 +235,14 @@
         return;
     }
     failure why;
-    auto request = read_job(item.request.body, clock_, why);
+    const auto request = read_job(item.request.body, clock_, why);
     if (!request)
     {
         item.respond(json_response(why));
         return;
     }
     control_.submit(
-        std::move(*request),
+        *request,
         *until,
         [this, respond = std::move(item.respond)](const job_reply& reply)
         { respond(job_response(reply, clock_)); });
