Bound trailers of chunked bodies as well

Cause: a trailer field of 64 KiB after a chunked body ended the process with std::length_error; Beast's header limit does not cover trailers. Found by sending mutated requests to the stand-in.

Ruled out: refusing chunked bodies, which callers may send.

Change: both sides hold at most 48 KiB of unparsed input, so that a longer trailer is an error of that connection. Tests send such trailers to the server and the client; both ended the process before.

Conclusion: hostile input ends its own connection only.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -35,9 +35,11 @@
 constexpr milliseconds close_limit{500};
 constexpr std::size_t close_read_bytes = std::size_t{1024} * 1024;
 
-// Highest limit of a header: Beast throws an exception, outside of any
-// coroutine, for a field of 64 KiB.
+// Highest limit of a header, and most input held at a time. Beast throws an
+// exception, outside of any coroutine, for a field of 64 KiB; the limit of the
+// header does not cover the trailer of a chunked body, the buffer does.
 constexpr std::uint32_t most_header_bytes = 32 * 1024;
+constexpr std::size_t most_buffered_bytes = std::size_t{48} * 1024;
 
 constexpr std::size_t read_bytes = std::size_t{16} * 1024;
 constexpr int http_1_1 = 11;
@@ -132,8 +134,9 @@
                        const http_server_settings& settings,
                        http_handler dispatch)
     : socket_(std::move(socket)), limit_timer_(socket_.get_executor()),
-      response_timer_(socket_.get_executor()), settings_(settings),
-      dispatch_(std::move(dispatch)), peer_(peer_of(socket_))
+      response_timer_(socket_.get_executor()), buffer_(most_buffered_bytes),
+      settings_(settings), dispatch_(std::move(dispatch)),
+      peer_(peer_of(socket_))
 {
 }
 
--- a/src/http/destination.hpp
+++ b/src/http/destination.hpp
@@ -21,6 +21,10 @@
 namespace poplarramp::detail
 {
 
+// Most bytes of a reply that are held before they are parsed; less than the
+// field of 64 KiB for which Beast throws an exception.
+constexpr std::size_t most_buffered_bytes = std::size_t{48} * 1024;
+
 // Established connection without a request in flight.
 struct kept_connection
 {
@@ -30,7 +34,7 @@
     }
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{most_buffered_bytes};
     time_point kept_since{};
 };
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -224,7 +224,9 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n1",
         "this is not HTTP\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nX: " + std::string(65'480, 'x') + "\r\n\r\n"};
+        "HTTP/1.1 200 OK\r\nX: " + std::string(65'480, 'x') + "\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " +
+            std::string(65'600, 'x') + "\r\n\r\n"};
     for (const auto& bytes : replies)
     {
         scripted_server server(
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -237,8 +237,8 @@
     check_still_serves();
 }
 
-// Guards against a header field that the parser cannot hold, which ended the
-// process when the settings allowed a header of 64 KiB or more.
+// Guards against a field in a header or trailer that the parser cannot hold,
+// which ended the process.
 TEST(http_server, survives_huge_fields_whatever_the_settings)
 {
     auto settings = small_limits();
@@ -251,6 +251,12 @@
     check_error(send_and_wait("GET / HTTP/1.1\r\n" + huge + ": x\r\n\r\n"),
                 "431",
                 result_code::bad_request);
+    check_error(
+        send_and_wait("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "0\r\nX: " +
+                      huge + "\r\n\r\n"),
+        "400",
+        result_code::bad_request);
     check_still_serves();
 }
 
