--- a/src/control/server_leases.cpp
+++ b/src/control/server_leases.cpp
@@ -14,6 +14,9 @@
 
 constexpr milliseconds claim_deadline{1000};
 constexpr milliseconds claim_retry{250};
+// A claim is answered within this time, and shows whether another owner holds
+// the server.
+constexpr milliseconds owner_known_after = claim_deadline + claim_retry * 2;
 // Two polls have to fit in the usable part of a lease (2.5 s): with a wait of
 // 1.5 s the lease would lapse for 500 ms in each cycle.
 constexpr milliseconds poll_wait{1000};
@@ -170,9 +173,21 @@
 
 bool server_leases::contested() const
 {
+    const auto now = hooks_.now();
     return std::any_of(servers_.begin(),
                        servers_.end(),
-                       [](const auto& item) { return item.second.contested; });
+                       [now](const auto& item)
+                       {
+                           const auto& lease = item.second;
+                           if (lease.phase == lease_phase::held)
+                           {
+                               return now >= lease.lease_end - lease_margin;
+                           }
+                           const bool unanswered =
+                               lease.listed &&
+                               now < lease.unclaimed_since + owner_known_after;
+                           return lease.contested || unanswered;
+                       });
 }
 
 bool server_leases::all_held() const
--- a/src/control/server_leases.hpp
+++ b/src/control/server_leases.hpp
@@ -124,7 +124,8 @@
 
     void acknowledge(const event_mark& mark);
 
-    // True while another scheduler seems to hold a server.
+    // True while another scheduler holds a server or may hold it, because a
+    // lease has just ended and the next claim has no answer yet.
     bool contested() const;
     // True if the list of members is known and each of them is held.
     bool all_held() const;
--- a/tests/zone_takeover_test.cpp
+++ b/tests/zone_takeover_test.cpp
@@ -130,6 +130,27 @@
     CHECK_EQUAL(0, zone.all.executions_of("bead/1"));
 }
 
+// Guards against "did not run" written by a scheduler that was paused while
+// another one took the servers over and started the job.
+TEST(zone_takeover, withdraws_not_run_after_pause)
+{
+    zone.accept(make_job("full", 16, true), zone.a, 2000);
+    const auto item = zone.accept(make_job("1", 8, true), zone.a, 8000);
+    zone.run(500);
+    zone.all.table_down = true;
+    zone.a->zone->cancel("bead/1");
+    zone.run(300);
+    zone.a->frozen = true;
+    zone.all.table_down = false;
+    zone.all.activate(*zone.b);
+    zone.b->zone->enqueue(item);
+    zone.run(6000);
+    CHECK_EQUAL(1, zone.all.executions_of("bead/1"));
+    zone.all.thaw(*zone.a);
+    zone.run(10000);
+    CHECK(zone.state("bead/1") == job_state::done);
+}
+
 // Guards against "cancelled before it ran" by a scheduler that cannot know.
 TEST(zone_takeover, withholds_not_run_while_another_holds_servers)
 {
