--- a/src/policy/cluster.cpp
+++ b/src/policy/cluster.cpp
@@ -15,34 +15,17 @@
     target.slots += slots;
 }
 
-// What is left of `total` when the claims that no stopping task will cover are
-// kept back.
-int left_now(int total, int used, int claimed, int stopping)
-{
-    return std::max(0, total - used - std::max(0, claimed - stopping));
-}
-
 } // namespace
 
-amount server_state::free() const
-{
-    return {left_now(info.accelerators,
-                     used.accelerators,
-                     claimed.accelerators,
-                     stopping.accelerators),
-            left_now(info.slots, used.slots, claimed.slots, stopping.slots)};
-}
-
-amount server_state::prospective() const
+bool loses_job(const placed_task& task)
 {
-    return {info.accelerators - used.accelerators + stopping.accelerators -
-                claimed.accelerators,
-            info.slots - used.slots + stopping.slots - claimed.slots};
+    return !task.idempotent && !task.can_checkpoint;
 }
 
-amount server_state::unbound() const
+bool preemptible_by_urgent(const placed_task& task)
 {
-    return {info.accelerators - firm.accelerators, info.slots - firm.slots};
+    return !task.pinned && !task.in_guarantee && !task.urgent &&
+           !task.stopping && !loses_job(task);
 }
 
 int cluster::add_server(const server_info& server)
@@ -98,6 +81,14 @@
                found.unhealthy = unhealthy;
                found.probing = probing;
            });
+    if (probing)
+    {
+        probing_servers_.insert(server);
+    }
+    else
+    {
+        probing_servers_.erase(server);
+    }
 }
 
 void cluster::set_reservation(int server, std::int64_t job, time_point from)
@@ -110,18 +101,23 @@
 {
     update(server, [](server_state& found) { found.known = false; });
     index_sizes();
-    return at(server).tasks;
+    std::vector<std::int64_t> numbers;
+    for (const auto* task : at(server).tasks)
+    {
+        numbers.push_back(task->number);
+    }
+    return numbers;
 }
 
 void cluster::add_task(placed_task task)
 {
-    for (const auto& share : task.parts)
+    const auto number = task.number;
+    const auto& added = tasks_.emplace(number, std::move(task)).first->second;
+    for (const auto& share : added.parts)
     {
-        state(share.server).tasks.push_back(task.number);
+        state(share.server).tasks.push_back(&added);
     }
-    use(task, 1);
-    const auto number = task.number;
-    tasks_.emplace(number, std::move(task));
+    use(added, 1);
 }
 
 void cluster::remove_task(std::int64_t number)
@@ -131,7 +127,7 @@
     for (const auto& share : found->second.parts)
     {
         auto& list = state(share.server).tasks;
-        list.erase(std::find(list.begin(), list.end(), number));
+        list.erase(std::find(list.begin(), list.end(), &found->second));
     }
     tasks_.erase(found);
 }
@@ -165,7 +161,10 @@
 
 void cluster::set_in_guarantee(std::int64_t number, bool in_guarantee)
 {
-    tasks_.at(number).in_guarantee = in_guarantee;
+    auto& task = tasks_.at(number);
+    use(task, -1);
+    task.in_guarantee = in_guarantee;
+    use(task, 1);
 }
 
 void cluster::claim(std::span<const part> parts, int sign)
@@ -221,6 +220,10 @@
                {
                    const int accelerators = sign * share.accelerators;
                    change(found.used, accelerators, sign);
+                   if (preemptible_by_urgent(task))
+                   {
+                       change(found.preemptible, accelerators, sign);
+                   }
                    if (task.stopping)
                    {
                        change(found.stopping, accelerators, sign);
--- /dev/null
+++ b/src/policy/decision_round.hpp
@@ -0,0 +1,78 @@
+// One pass over everything that can be decided at a time.
+#ifndef POPLARRAMP_POLICY_DECISION_ROUND_HPP
+#define POPLARRAMP_POLICY_DECISION_ROUND_HPP
+
+#include "policy/attempt_filter.hpp"
+#include "policy/scheduler.hpp"
+#include "policy/zone_state.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace poplarramp::detail
+{
+
+// Not thread safe. Use each object for one call of `run`.
+class decision_round
+{
+public:
+    decision_round(zone_state& zone, time_point now) : zone_(zone), now_(now)
+    {
+    }
+
+    std::vector<decision> run();
+
+private:
+    using lane_entry = std::pair<const lane_key, lane>;
+
+    // Lanes of one customer and class, by their first job.
+    struct customer_lanes
+    {
+        customer_share share;
+        int largest_held = 0;
+        std::map<job_order, lane_entry*> lanes;
+    };
+
+    using class_lanes = std::map<std::string, customer_lanes>;
+
+    void ready_probes();
+    void shed();
+    void raise();
+    void prepare_blocks();
+    void settle_claims();
+    void update_reservations();
+    std::vector<reservation> choose_reservations();
+    void renew_filter();
+    void try_holders();
+    void try_lanes();
+    bool try_class(queue_class order);
+    class_lanes open_lanes(queue_class order);
+    void try_first_lane(customer_lanes& mine);
+    void drop_hopeless(customer_lanes& mine);
+    bool ruled_out(const job_need& need, int largest_held) const;
+    void block(lane& waiting, wait_reason reason);
+    std::optional<wait_reason> try_job(job_entry& entry);
+    std::optional<job_plan> plan_for(const job_entry& entry);
+    std::optional<job_plan> plan_in_guarantee(const job_need& need,
+                                              planner& search);
+    bool drop_borrowed_claims();
+    bool fits_now(const part_list& parts) const;
+    void carry_out(job_entry& entry, job_plan plan);
+    decision preemption(std::int64_t victim,
+                        const job_entry& entry,
+                        const job_plan& plan) const;
+
+    zone_state& zone_;
+    time_point now_;
+    std::vector<decision> made_;
+    std::optional<attempt_filter> filter_;
+    std::uint64_t filtered_at_ = 0;
+    bool claims_dropped_ = false;
+};
+
+} // namespace poplarramp::detail
+
+#endif
