Keep the job promises of a zone under faults

Cause: the first scheduler of an availability zone trusted each answer. Lost answers, a second scheduler, restarts and an unavailable table broke "at most once" and "not run".

Ruled out: taking a refused repeat of a start as proof that the task did not run, because the first start can still be under way; telling "did not run" before its row is written, because the open row lets the next scheduler start the job; telling "cancelled" first for a stopped task, because the next scheduler sees only a stopped task.

Change: - A start without an answer is repeated with the same task id, then settled by a claim under a new epoch. The same claim fences repeats that are still under way when a task has ended, because the backend server forgets a task once it is acknowledged. - A scheduler that takes a server over from another one reads the row of each job that was queued before, and does not call such a job "not run". - "Did not run" is withheld while another scheduler holds servers, is checked again before each write, and is settled before the leases are given back. - The final row and the attempt record respect an attempt that is not known here; the latest attempt that a backend server lists is adopted.

One contradiction is left: a result told first while the table is down, whose backend server and scheduler are both lost before the table is back, ends as "unknown" in the row.

--- a/src/control/job_rows.cpp
+++ b/src/control/job_rows.cpp
@@ -56,14 +56,19 @@
 
 struct job_rows::finish_call
 {
-    job item;
-    std::function<void()> delayed;
-    std::function<void(const job&)> done;
+    final_write what;
+    bool writing = false;
     milliseconds backoff = first_finish_retry;
     time_point next_try{};
     bool in_flight = false;
 };
 
+bool job_rows::may_have_run(const finish_call& call, const job& row)
+{
+    const auto open = open_attempts(row);
+    return !open.empty() && open.front().number > call.what.not_run_up_to;
+}
+
 std::vector<attempt_record> open_attempts(const job& item)
 {
     const int last = last_attempt(item);
@@ -238,19 +243,15 @@
     call->done(result, view);
 }
 
-void job_rows::finish(const job& item,
-                      std::function<void()> delayed,
-                      std::function<void(const job&)> done)
+void job_rows::finish(final_write what)
 {
-    auto& call = finishing_[job_id(item.request)];
+    auto& call = finishing_[job_id(what.item.request)];
     if (call)
     {
         return;
     }
     call = std::make_shared<finish_call>();
-    call->item = item;
-    call->delayed = std::move(delayed);
-    call->done = std::move(done);
+    call->what = std::move(what);
     if (writes_in_flight_ < most_finish_calls)
     {
         const auto started = call;
@@ -262,14 +263,39 @@
 {
     call->in_flight = true;
     ++writes_in_flight_;
-    read(job_id(call->item.request),
+    read(job_id(call->what.item.request),
          [this, call](const job_row_view& view)
          { on_finish_read(call, view); });
 }
 
+bool job_rows::withdraw(const std::string& id)
+{
+    const auto found = finishing_.find(id);
+    if (found == finishing_.end() || found->second->writing)
+    {
+        return false;
+    }
+    if (found->second->in_flight)
+    {
+        --writes_in_flight_;
+    }
+    finishing_.erase(found);
+    return true;
+}
+
+bool job_rows::is_current(const std::shared_ptr<finish_call>& call) const
+{
+    const auto found = finishing_.find(job_id(call->what.item.request));
+    return found != finishing_.end() && found->second == call;
+}
+
 void job_rows::on_finish_read(const std::shared_ptr<finish_call>& call,
                               const job_row_view& view)
 {
+    if (!is_current(call))
+    {
+        return;
+    }
     if (view.error)
     {
         retry_finish(call);
@@ -280,12 +306,23 @@
         end_finish(call, *view.item);
         return;
     }
-    store_.read(open_key(job_id(call->item.request)),
+    if (withdraw_finish(call))
+    {
+        return;
+    }
+    if (call->what.did_not_run && view.item && may_have_run(*call, *view.item))
+    {
+        --writes_in_flight_;
+        finishing_.erase(job_id(call->what.item.request));
+        call->what.foreign_attempt(*view.item);
+        return;
+    }
+    store_.read(open_key(job_id(call->what.item.request)),
                 now_() + table_deadline,
                 [this, alive = std::weak_ptr<char>(alive_), call, view](
                     const table_read_reply& reply)
                 {
-                    if (alive.expired())
+                    if (alive.expired() || !is_current(call))
                     {
                         return;
                     }
@@ -294,7 +331,10 @@
                         retry_finish(call);
                         return;
                     }
-                    write_final(call, view, reply.row.version);
+                    if (!withdraw_finish(call))
+                    {
+                        write_final(call, view, reply.row.version);
+                    }
                 });
 }
 
@@ -302,10 +342,11 @@
                            const job_row_view& view,
                            std::uint64_t open_version)
 {
-    job final_row = view.item ? *view.item : call->item;
-    final_row.outcome = call->item.outcome;
+    job final_row = view.item ? *view.item : call->what.item;
+    final_row.outcome = call->what.item.outcome;
     final_row.durable = true;
-    const auto id = job_id(call->item.request);
+    const auto id = job_id(call->what.item.request);
+    call->writing = true;
     std::vector<table_change> changes{{job_key(id),
                                        json_text(to_json(final_row, clock_)),
                                        view.version,
@@ -323,6 +364,13 @@
                      {
                          return;
                      }
+                     call->writing = false;
+                     if (reply.error.code == result_code::conflict)
+                     {
+                         --writes_in_flight_;
+                         try_finish(call);
+                         return;
+                     }
                      if (reply.error)
                      {
                          retry_finish(call);
@@ -332,13 +380,26 @@
                  });
 }
 
+bool job_rows::withdraw_finish(const std::shared_ptr<finish_call>& call)
+{
+    const bool holds = !call->what.did_not_run || call->what.still_holds();
+    if (holds)
+    {
+        return false;
+    }
+    --writes_in_flight_;
+    finishing_.erase(job_id(call->what.item.request));
+    call->what.withdrawn();
+    return true;
+}
+
 void job_rows::retry_finish(const std::shared_ptr<finish_call>& call)
 {
     call->in_flight = false;
     --writes_in_flight_;
     call->next_try = now_() + call->backoff;
     call->backoff = std::min(call->backoff * 2, longest_finish_retry);
-    if (auto delayed = std::exchange(call->delayed, nullptr))
+    if (auto delayed = std::exchange(call->what.delayed, nullptr))
     {
         delayed();
     }
@@ -348,8 +409,8 @@
                           const job& item)
 {
     --writes_in_flight_;
-    finishing_.erase(job_id(call->item.request));
-    call->done(item);
+    finishing_.erase(job_id(call->what.item.request));
+    call->what.done(item);
 }
 
 void job_rows::scan(
@@ -380,9 +441,15 @@
                 });
 }
 
-std::size_t job_rows::unwritten() const
+bool job_rows::not_run_in_flight() const
 {
-    return finishing_.size();
+    return std::any_of(finishing_.begin(),
+                       finishing_.end(),
+                       [](const auto& item)
+                       {
+                           const auto& call = *item.second;
+                           return call.writing && call.what.did_not_run;
+                       });
 }
 
 void job_rows::tick()
--- a/src/control/job_rows.hpp
+++ b/src/control/job_rows.hpp
@@ -53,6 +53,27 @@
 
 int last_attempt(const job& item);
 
+// What `job_rows::finish` writes and whom it tells.
+struct final_write
+{
+    job item;
+    // The outcome says that the job did not run; attempts up to
+    // `not_run_up_to` are proved not to have run.
+    bool did_not_run = false;
+    int not_run_up_to = 0;
+    // Checked before each write of a job that did not run; if it is false,
+    // nothing is written and `withdrawn` is called.
+    std::function<bool()> still_holds;
+    std::function<void()> withdrawn;
+    // Called once if the first try fails.
+    std::function<void()> delayed;
+    // Gets the outcome in the row: the first final outcome stays.
+    std::function<void(const job& row)> done;
+    // Called instead of `done`, and nothing is written, if the job did not run
+    // here but the row has another attempt that may have run.
+    std::function<void(const job& row)> foreign_attempt;
+};
+
 // Not thread safe; used on the control thread only. Replies that arrive after
 // destruction are dropped.
 class job_rows
@@ -73,13 +94,9 @@
                 int not_run_up_to,
                 std::function<void(record_result, job_row_view)> done);
 
-    // Writes the final row of `item` and removes it from the index, again and
-    // again until the row is final. `done` gets the outcome in the row: the
-    // first final outcome stays. `delayed` is called once if the first try
-    // fails.
-    void finish(const job& item,
-                std::function<void()> delayed,
-                std::function<void(const job& item)> done);
+    // Writes the final row and removes the job from the index, again and again
+    // until the row is final. Does nothing if the job is being finished.
+    void finish(final_write what);
 
     // One page of the index: job ids after `after`, and where to go on.
     void scan(const std::string& after,
@@ -88,8 +105,12 @@
                                  std::vector<std::string> ids,
                                  std::string next)> done);
 
-    // Final rows that are not written yet.
-    std::size_t unwritten() const;
+    // Gives up `finish` of a job; false if its write is in flight or there is
+    // none.
+    bool withdraw(const std::string& id);
+
+    // True while a write is in flight that says that a job did not run.
+    bool not_run_in_flight() const;
 
     // Sends what waits for a retry.
     void tick();
@@ -98,6 +119,7 @@
     struct record_call;
     struct finish_call;
 
+    static bool may_have_run(const finish_call& call, const job& row);
     std::string open_key(std::string_view id) const;
     job_row_view view_of(const table_read_reply& reply) const;
     void try_record(const std::shared_ptr<record_call>& call);
@@ -114,6 +136,8 @@
     void write_final(const std::shared_ptr<finish_call>& call,
                      const job_row_view& view,
                      std::uint64_t open_version);
+    bool is_current(const std::shared_ptr<finish_call>& call) const;
+    bool withdraw_finish(const std::shared_ptr<finish_call>& call);
     void retry_finish(const std::shared_ptr<finish_call>& call);
     void end_finish(const std::shared_ptr<finish_call>& call, const job& item);
 
--- a/src/control/server_leases.cpp
+++ b/src/control/server_leases.cpp
@@ -14,6 +14,9 @@
 
 constexpr milliseconds claim_deadline{1000};
 constexpr milliseconds claim_retry{250};
+// A claim is answered within this time, and shows whether another owner holds
+// the server.
+constexpr milliseconds owner_known_after = claim_deadline + claim_retry * 2;
 // Two polls have to fit in the usable part of a lease (2.5 s): with a wait of
 // 1.5 s the lease would lapse for 500 ms in each cycle.
 constexpr milliseconds poll_wait{1000};
@@ -77,6 +80,7 @@
     for (auto& [id, lease] : servers_)
     {
         lease.unclaimed_since = hooks_.now();
+        lease.token.epoch = 0;
     }
     tick();
 }
@@ -169,9 +173,21 @@
 
 bool server_leases::contested() const
 {
+    const auto now = hooks_.now();
     return std::any_of(servers_.begin(),
                        servers_.end(),
-                       [](const auto& item) { return item.second.contested; });
+                       [now](const auto& item)
+                       {
+                           const auto& lease = item.second;
+                           if (lease.phase == lease_phase::held)
+                           {
+                               return now >= lease.lease_end - lease_margin;
+                           }
+                           const bool unanswered =
+                               lease.listed &&
+                               now < lease.unclaimed_since + owner_known_after;
+                           return lease.contested || unanswered;
+                       });
 }
 
 bool server_leases::all_held() const
@@ -230,6 +246,7 @@
     if (lease.phase == lease_phase::releasing && now >= lease.lease_end)
     {
         lease.phase = lease_phase::unclaimed;
+        lease.token.epoch = 0;
         lease.unclaimed_since = now;
     }
     if (lease.phase == lease_phase::unclaimed && active_ && lease.listed &&
@@ -298,6 +315,11 @@
                             const claim_reply& reply)
 {
     lease.phase = lease_phase::held;
+    lease.first_grant = lease.token.epoch == 0;
+    const bool restarted = lease.token.incarnation != reply.token.incarnation;
+    const bool next_epoch = reply.token.epoch == lease.token.epoch + 1;
+    lease.other_owner_before =
+        lease.contested || lease.first_grant || (!restarted && !next_epoch);
     lease.token = reply.token;
     lease.lease_end = sent + server_lease_time;
     lease.contested = false;
@@ -426,6 +448,7 @@
             if (!error || error.code == result_code::stale_epoch)
             {
                 found->second.phase = lease_phase::unclaimed;
+                found->second.token.epoch = 0;
                 found->second.unclaimed_since = hooks_.now();
                 report_released();
                 return;
--- a/src/control/server_leases.hpp
+++ b/src/control/server_leases.hpp
@@ -56,6 +56,10 @@
     time_point lease_end{};
     // Another owner held the lease at the last claim or took it from us.
     bool contested = false;
+    // Before the present grant another owner may have held the lease since it
+    // was last held here, or since `activate` for the first grant.
+    bool other_owner_before = false;
+    bool first_grant = true;
     // Since when this scheduler holds no lease of it.
     time_point unclaimed_since{};
     time_point next_claim{};
@@ -120,7 +124,8 @@
 
     void acknowledge(const event_mark& mark);
 
-    // True while another scheduler seems to hold a server.
+    // True while another scheduler holds a server or may hold it, because a
+    // lease has just ended and the next claim has no answer yet.
     bool contested() const;
     // True if the list of members is known and each of them is held.
     bool all_held() const;
--- a/src/control/task_run.cpp
+++ b/src/control/task_run.cpp
@@ -549,6 +549,7 @@
     const bool same_server = part.token.incarnation == token.incarnation;
     const bool may_have_run =
         part.start_sent && (!same_server || part.state == part_state::running);
+    forgotten_ = forgotten_ || (may_have_run && same_server);
     part.state = may_have_run ? part_state::lost : part_state::never;
 }
 
@@ -565,6 +566,7 @@
     apply(*part, event);
     if (is_final(part->state))
     {
+        fence_repeats(*part);
         marks_.push_back(mark);
     }
     else
@@ -613,6 +615,17 @@
     part.result = event;
 }
 
+// The server forgets an ended task once it is acknowledged; a repeat of its
+// start that is still under way would then run it again. A new epoch refuses
+// it.
+void task_run::fence_repeats(const run_part& part)
+{
+    if (part.uncertain && part.sends > 1)
+    {
+        hooks_.leases->fence(part.server, part.token);
+    }
+}
+
 void task_run::on_gone(std::string_view server)
 {
     for (auto& part : parts_)
@@ -653,11 +666,9 @@
                        });
 }
 
-bool task_run::start_sent() const
+bool task_run::forgotten() const
 {
-    return std::any_of(parts_.begin(),
-                       parts_.end(),
-                       [](const run_part& part) { return part.start_sent; });
+    return forgotten_;
 }
 
 run_end task_run::end() const
--- a/src/control/task_run.hpp
+++ b/src/control/task_run.hpp
@@ -120,7 +120,9 @@
 
     int attempt() const;
     bool all_started() const;
-    bool start_sent() const;
+    // A part that ran was unknown to its server, which had not restarted:
+    // another scheduler has handled its end.
+    bool forgotten() const;
     run_end end() const;
     // Why a part failed or was refused, and its server; empty if none.
     const std::string& fault_server() const;
@@ -141,6 +143,7 @@
     void advance_part(run_part& part);
     void advance_stop(run_part& part);
     void settle_start(run_part& part);
+    void fence_repeats(const run_part& part);
     bool may_start_at(const run_part& part) const;
     void send_prepare(run_part& part);
     void send_start(run_part& part);
@@ -163,6 +166,7 @@
     std::vector<run_part> parts_;
     bool committed_ = false;
     bool stopping_ = false;
+    bool forgotten_ = false;
     bool checkpoint_ = false;
     time_point checkpoint_deadline_{};
     time_point commit_deadline_{};
--- a/src/control/zone_attempts.cpp
+++ b/src/control/zone_attempts.cpp
@@ -20,18 +20,18 @@
 } // namespace
 
 // Another scheduler may have ended the job while it was queued here; that can
-// only be if a server was claimed since the row was last seen. While the table
-// is down the start goes ahead.
+// only be if a server was taken over since the row was last seen. The job then
+// waits for the table, because a start could make a "did not run" false.
 void zone_core::check_row(const job_ptr& entry)
 {
-    if (!entry->item.durable || entry->checked_at_claim == claims)
+    if (!entry->item.durable || entry->checked_at_claim == foreign_claims)
     {
         try_start(entry);
         return;
     }
     entry->phase = job_phase::checking;
     rows.read(entry->id,
-              [this, entry, serial = entry->serial, seen = claims](
+              [this, entry, serial = entry->serial, seen = foreign_claims](
                   const job_row_view& view)
               {
                   if (entry->serial != serial)
@@ -43,10 +43,12 @@
                       row_is_final(entry, *view.item);
                       return;
                   }
-                  if (!view.error)
+                  if (view.error)
                   {
-                      entry->checked_at_claim = seen;
+                      defer(entry, table_down_wait);
+                      return;
                   }
+                  entry->checked_at_claim = seen;
                   try_start(entry);
               });
 }
@@ -98,12 +100,7 @@
         row_is_final(entry, *view.item);
         return;
     case record_result::foreign_attempt:
-        ++entry->serial;
-        withdraw(entry);
-        entry->item.attempts = view.item->attempts;
-        entry->phase = job_phase::held;
-        entry->row_seen = true;
-        resolve_held(entry);
+        hold_for_attempt(entry, *view.item);
         return;
     case record_result::missing:
     case record_result::unavailable:
@@ -251,7 +248,7 @@
     if (entry->cancel_requested)
     {
         withdraw(entry);
-        conclude(entry, {result_code::cancelled, "cancelled before it ran"});
+        conclude(entry, {result_code::cancelled, "cancelled in the queue"});
         return;
     }
     requeue(entry, fault);
@@ -275,7 +272,7 @@
                 "stopped while it ran",
                 {},
                 {}},
-               true);
+               false);
         return;
     }
     if (entry->item.idempotent)
@@ -290,7 +287,7 @@
             "stopped while it ran; it must not run twice",
             {},
             {}},
-           true);
+           false);
 }
 
 void zone_core::run_failed(const job_ptr& entry)
@@ -310,13 +307,17 @@
                         {},
                         {}};
     leave_policy(entry, false);
-    finish(entry, std::move(outcome), true);
+    // The next scheduler would count the failures of an idempotent job anew.
+    finish(entry, std::move(outcome), !entry->item.idempotent);
 }
 
 void zone_core::run_lost(const job_ptr& entry)
 {
     entry->may_have_run = true;
-    entry->checked_at_claim = 0;
+    if (entry->run->forgotten())
+    {
+        entry->checked_at_claim = 0;
+    }
     if (entry->item.idempotent && !entry->cancel_requested)
     {
         requeue(entry, {});
@@ -336,8 +337,19 @@
 void zone_core::requeue(const job_ptr& entry, const std::string& fault_server)
 {
     ++entry->serial;
-    acknowledge(entry);
+    if (entry->item.idempotent)
+    {
+        acknowledge(entry);
+    }
     entry->run.reset();
+    const bool may_run_elsewhere =
+        entry->item.idempotent && entry->may_have_run && !takeover_done;
+    if (may_run_elsewhere)
+    {
+        withdraw(entry);
+        entry->phase = job_phase::held;
+        return;
+    }
     if (entry->cancel_requested || !entry->placed)
     {
         withdraw(entry);
--- a/src/control/zone_core.cpp
+++ b/src/control/zone_core.cpp
@@ -37,7 +37,8 @@
     };
     hooks.on_leaving = [&core](const std::string& server, bool leaving)
     {
-        const bool held = core.leases.may_act(server).has_value();
+        const auto* lease = core.leases.find(server);
+        const bool held = lease && lease->phase == lease_phase::held;
         core.policy->set_placeable(server, held && !leaving);
     };
     return hooks;
@@ -67,9 +68,16 @@
     {
         return;
     }
+    if (releasing)
+    {
+        releasing = false;
+        leases.release_all(std::move(on_released));
+    }
     log_line(log_level::info, "sched", "activated", {{"zone", zone}});
     active = true;
     activated_at = now();
+    last_foreign_claim = activated_at;
+    takeover_done = false;
     policy->set_open(open);
     leases.activate();
     scan.start();
@@ -95,7 +103,20 @@
     }
     policy = std::make_unique<scheduler>(zone);
     policy->set_sheet(config.plan);
-    leases.release_all(std::move(released));
+    releasing = true;
+    on_released = std::move(released);
+    release_when_settled();
+}
+
+// A write that says "did not run" has to be settled while no other scheduler
+// can start the job, that is before the leases are given back.
+void zone_core::release_when_settled()
+{
+    if (releasing && !rows.not_run_in_flight())
+    {
+        releasing = false;
+        leases.release_all(std::move(on_released));
+    }
 }
 
 void zone_core::set_configuration(const configuration& next, bool is_open)
@@ -116,7 +137,9 @@
     leases.tick();
     rows.tick();
     scan.tick();
+    release_when_settled();
     all_held = active && leases.all_held();
+    takeover_done = takeover_done || all_held;
     for (const auto& entry : all_jobs())
     {
         tick_job(entry);
@@ -151,7 +174,8 @@
     case job_phase::withheld:
         if (!leases.contested())
         {
-            finish(entry, entry->item.outcome, !entry->item.durable);
+            conclude(entry,
+                     {entry->item.outcome.code, entry->item.outcome.reason});
         }
         return;
     case job_phase::ended:
@@ -197,28 +221,72 @@
                        job_outcome outcome,
                        bool tell_first)
 {
-    entry->phase = job_phase::finishing;
     entry->item.outcome = std::move(outcome);
+    entry->inferred = entry->item.outcome.state == job_state::unknown;
+    write_final(entry, tell_first || !entry->item.durable, false);
+}
+
+void zone_core::write_final(const job_ptr& entry,
+                            bool tell_first,
+                            bool did_not_run)
+{
+    entry->phase = job_phase::finishing;
     ++entry->serial;
     entry->run.reset();
-    std::function<void()> delayed;
+    final_write call;
+    call.item = entry->item;
+    call.did_not_run = did_not_run;
+    call.not_run_up_to = entry->not_run_up_to;
     if (tell_first)
     {
-        delayed = [this, entry]
+        call.delayed = [this, entry]
         {
             tell(entry);
         };
     }
-    rows.finish(entry->item,
-                std::move(delayed),
-                [this, entry](const job& row)
-                {
-                    if (!entry->told)
-                    {
-                        entry->item.outcome = row.outcome;
-                    }
-                    end(entry);
-                });
+    call.done = [this, entry](const job& row)
+    {
+        if (!entry->told)
+        {
+            entry->item.outcome = row.outcome;
+        }
+        end(entry);
+    };
+    call.still_holds = [this, seen = foreign_claims, entry]
+    {
+        const bool ours = active && !leases.contested();
+        return !entry->item.durable || (ours && seen == foreign_claims);
+    };
+    call.withdrawn = [this, seen = foreign_claims, entry]
+    {
+        entry->phase = job_phase::withheld;
+        entry->may_have_run = entry->item.idempotent && seen != foreign_claims;
+        if (!active)
+        {
+            jobs.erase(entry->id);
+        }
+    };
+    call.foreign_attempt = [this, entry](const job& row)
+    {
+        hold_for_attempt(entry, row);
+    };
+    rows.finish(std::move(call));
+}
+
+void zone_core::hold_for_attempt(const job_ptr& entry, const job& row)
+{
+    ++entry->serial;
+    if (!active)
+    {
+        jobs.erase(entry->id);
+        return;
+    }
+    withdraw(entry);
+    entry->item.outcome = {};
+    entry->item.attempts = row.attempts;
+    entry->phase = job_phase::held;
+    entry->row_seen = true;
+    resolve_held(entry);
 }
 
 void zone_core::conclude(const job_ptr& entry, failure why)
@@ -234,6 +302,9 @@
         outcome.state = entry->ran ? job_state::failed : job_state::unknown;
         outcome.code =
             entry->ran ? result_code::job_failed : result_code::outcome_unknown;
+    }
+    if (did_run)
+    {
         outcome.reason += "; an earlier attempt ";
         outcome.reason += entry->ran ? "ran" : "may have run";
     }
@@ -245,7 +316,9 @@
     }
     // A row that stays open would let the next scheduler run the job after
     // the caller was told that it did not run.
-    finish(entry, std::move(outcome), !entry->item.durable);
+    entry->item.outcome = std::move(outcome);
+    entry->inferred = true;
+    write_final(entry, !entry->item.durable, !did_run);
 }
 
 void zone_core::row_is_final(const job_ptr& entry, const job& row)
--- a/src/control/zone_core.hpp
+++ b/src/control/zone_core.hpp
@@ -65,11 +65,14 @@
     // An earlier scheduler may have run it.
     bool may_have_run = false;
     bool cancel_requested = false;
+    // The outcome is no report of a backend server.
+    bool inferred = false;
     bool told = false;
     // The row was read after the job was held.
     bool row_seen = false;
     bool row_read_in_flight = false;
-    // Value of `zone_core::claims` when the row was last known not to be final.
+    // Value of `zone_core::foreign_claims` when the row was last known not to
+    // be final.
     std::uint64_t checked_at_claim = 0;
     int attempt = 0;
     // Attempts up to this one are proved not to have run.
@@ -106,16 +109,21 @@
     void activate();
     void deactivate(std::function<void()> released);
     void set_configuration(const configuration& next, bool is_open);
+    void release_when_settled();
     void tick();
     void tick_job(const job_ptr& entry);
     job_ptr find(std::string_view id) const;
     job_ptr add(const job& item);
     std::vector<job_ptr> all_jobs() const;
     // The outcome is known. `tell_first`: `on_job_ended` need not wait for the
-    // row while the table is down.
+    // row while the table is down, because the backend server reports the same
+    // to the next scheduler.
     void finish(const job_ptr& entry, job_outcome outcome, bool tell_first);
     // Ends a job of which no attempt runs.
     void conclude(const job_ptr& entry, failure why);
+    void write_final(const job_ptr& entry, bool tell_first, bool did_not_run);
+    // The row has an attempt that another scheduler may have run.
+    void hold_for_attempt(const job_ptr& entry, const job& row);
     void row_is_final(const job_ptr& entry, const job& row);
     void tell(const job_ptr& entry);
     void end(const job_ptr& entry);
@@ -158,6 +166,8 @@
     void on_claimed(const std::string& server, const claim_reply& reply);
     void on_event(const task_event& event, const event_mark& mark);
     void on_gone(const std::string& server);
+    void note_foreign_claim();
+    bool take_back_inferred(const job_ptr& entry);
     void adopt_task(const std::string& server, const task_status& status);
     void on_open_job(const std::string& id);
     void resolve_held(const job_ptr& entry);
@@ -173,11 +183,17 @@
     bool active = false;
     bool open = false;
     bool deciding = false;
+    // Deactivated, but the leases are not given back yet.
+    bool releasing = false;
+    std::function<void()> on_released;
     configuration config;
     time_point activated_at{};
-    // Grants so far. A grant may end the rule of another scheduler that ended
-    // jobs which are queued here too.
-    std::uint64_t claims = 0;
+    // Grants of servers that another scheduler may have held before. It may
+    // have run or ended jobs that are queued here too.
+    std::uint64_t foreign_claims = 1;
+    time_point last_foreign_claim{};
+    // Every server was held once since the activation.
+    bool takeover_done = false;
     // Whether all servers were held at the last tick.
     bool all_held = false;
     std::unique_ptr<scheduler> policy;
--- a/src/control/zone_queue.cpp
+++ b/src/control/zone_queue.cpp
@@ -14,6 +14,8 @@
 // An earlier scheduler is suspected, and not sent jobs any more, at the latest
 // this long after its last heartbeat.
 constexpr milliseconds overlap_after_activation{1500};
+// Between the clocks of two entry VMs.
+constexpr milliseconds clock_skew{200};
 // An older job may have ended here and been forgotten.
 constexpr milliseconds longest_fresh_age{60000};
 constexpr milliseconds early_cancel_kept{10000};
@@ -25,6 +27,7 @@
 bool zone_core::is_fresh(const job& item) const
 {
     return item.accepted >= activated_at + overlap_after_activation &&
+           item.accepted >= last_foreign_claim + clock_skew &&
            now() - item.accepted < longest_fresh_age;
 }
 
@@ -42,7 +45,7 @@
     failure refused;
     if (is_fresh(item))
     {
-        entry->checked_at_claim = claims;
+        entry->checked_at_claim = foreign_claims;
         refused = submit(entry);
     }
     else
@@ -58,7 +61,7 @@
 {
     if (entry->cancel_requested)
     {
-        conclude(entry, {result_code::cancelled, "cancelled before it ran"});
+        conclude(entry, {result_code::cancelled, "cancelled in the queue"});
         return {};
     }
     entry->phase = job_phase::queued;
@@ -101,9 +104,14 @@
         decide();
         return {};
     }
+    if (entry->placed)
+    {
+        // The attempt may be recorded, but nothing was sent.
+        entry->not_run_up_to = entry->attempt;
+    }
     ++entry->serial;
     withdraw(entry);
-    conclude(entry, {result_code::cancelled, "cancelled before it ran"});
+    conclude(entry, {result_code::cancelled, "cancelled in the queue"});
     decide();
     return {};
 }
--- a/src/control/zone_takeover.cpp
+++ b/src/control/zone_takeover.cpp
@@ -28,6 +28,31 @@
     return state == task_state::prepared || state == task_state::running;
 }
 
+// The latest attempt of a job is the one to adopt.
+std::vector<const task_status*>
+latest_first(const std::vector<task_status>& tasks)
+{
+    std::vector<const task_status*> sorted;
+    sorted.reserve(tasks.size());
+    for (const auto& status : tasks)
+    {
+        sorted.push_back(&status);
+    }
+    std::stable_sort(sorted.begin(),
+                     sorted.end(),
+                     [](const task_status* a, const task_status* b)
+                     { return a->item.attempt > b->item.attempt; });
+    return sorted;
+}
+
+// A later attempt exists only if the earlier ones are proved not to have run;
+// for an idempotent job that holds unless this scheduler runs it.
+bool replaces_run(const zone_job& entry, const task_status& status)
+{
+    const bool later = status.item.attempt > entry.run->attempt();
+    return later && (!entry.item.idempotent || !entry.placed);
+}
+
 bool owns(const task_run& run, const std::string& server, std::string_view id)
 {
     return std::any_of(run.parts().begin(),
@@ -44,13 +69,21 @@
 
 void zone_core::on_claimed(const std::string& server, const claim_reply& reply)
 {
-    ++claims;
-    policy->add_server({server, reply.rack, reply.accelerators, reply.slots});
+    if (!active)
+    {
+        return;
+    }
     const auto* lease = leases.find(server);
-    policy->set_placeable(server, lease && !lease->leaving());
-    for (const auto& status : reply.tasks)
+    const bool joined_later = lease->first_grant && takeover_done;
+    if (lease->other_owner_before && (lease->contested || !joined_later))
+    {
+        note_foreign_claim();
+    }
+    policy->add_server({server, reply.rack, reply.accelerators, reply.slots});
+    policy->set_placeable(server, !lease->leaving());
+    for (const auto* status : latest_first(reply.tasks))
     {
-        adopt_task(server, status);
+        adopt_task(server, *status);
     }
     for (const auto& entry : all_jobs())
     {
@@ -63,6 +96,26 @@
     decide();
 }
 
+// The other scheduler may have run jobs that are queued here too, and have
+// acknowledged the end of the tasks.
+void zone_core::note_foreign_claim()
+{
+    ++foreign_claims;
+    last_foreign_claim = now();
+    for (const auto& [id, entry] : jobs)
+    {
+        const bool idle = entry->phase == job_phase::queued ||
+                          entry->phase == job_phase::checking ||
+                          entry->phase == job_phase::gated ||
+                          entry->phase == job_phase::deferred ||
+                          entry->phase == job_phase::withheld;
+        if (idle && entry->item.idempotent)
+        {
+            entry->may_have_run = true;
+        }
+    }
+}
+
 void zone_core::adopt_task(const std::string& server, const task_status& status)
 {
     auto entry = find(job_id(status.item.owner.request));
@@ -70,9 +123,10 @@
     {
         entry = add(status.item.owner);
     }
-    const bool decided = entry->phase == job_phase::finishing ||
-                         entry->phase == job_phase::ended;
-    if (decided || entry->run)
+    const bool decided =
+        entry->phase == job_phase::ended ||
+        (entry->phase == job_phase::finishing && !take_back_inferred(entry));
+    if (decided || (entry->run && !replaces_run(*entry, status)))
     {
         const bool ours =
             entry->run && owns(*entry->run, server, status.item.id);
@@ -88,6 +142,8 @@
              {{"task", status.item.id}, {"server", server}});
     ++entry->serial;
     withdraw(entry);
+    entry->started = false;
+    entry->item.outcome = {};
     entry->may_have_run = true;
     entry->attempt = status.item.attempt;
     entry->phase = job_phase::running;
@@ -95,8 +151,20 @@
     entry->run->adopt(status.item);
 }
 
+// True if the outcome was inferred and its row is not written: what a backend
+// server reports is better.
+bool zone_core::take_back_inferred(const job_ptr& entry)
+{
+    return entry->inferred && !entry->told && rows.withdraw(entry->id);
+}
+
 void zone_core::on_event(const task_event& event, const event_mark& mark)
 {
+    if (!active)
+    {
+        // The next scheduler learns of it as well.
+        return;
+    }
     const auto entry = find(job_of_task(event.task_id));
     if (entry && entry->run && entry->run->on_event(event, mark))
     {
@@ -104,7 +172,10 @@
         decide();
         return;
     }
-    if (entry && entry->phase == job_phase::finishing)
+    // A task that must not run twice is evidence until its job has ended.
+    const bool is_evidence =
+        entry && entry->phase != job_phase::ended && !entry->item.idempotent;
+    if (is_evidence || (entry && entry->phase == job_phase::finishing))
     {
         entry->marks.push_back(mark);
         return;
