Open large blocks at the places of the packing held

A block above one server was sought only at places that the greedy search proposes; the packing of the remaining blocks failed for each, although the packing held had a valid place.

The places of the packing held are now candidates too, and opening one drops that place. Ruled out: a complete search for large shapes, whose time is not bounded.

--- a/src/policy/guarantee.cpp
+++ b/src/policy/guarantee.cpp
@@ -138,6 +138,43 @@
            needed.slots <= left.slots;
 }
 
+// The place that a block opened by the changes leaves: the same one if there is
+// one, else one at its first server, else any of the shape.
+std::vector<block_place>::iterator
+place_to_drop(std::vector<block_place>& places,
+              std::span<const firm_change> changes,
+              int shape)
+{
+    auto best = places.end();
+    int best_rank = 0;
+    for (auto place = places.begin(); place != places.end(); ++place)
+    {
+        if (place->shape != shape)
+        {
+            continue;
+        }
+        const bool same = std::equal(
+            place->parts.begin(),
+            place->parts.end(),
+            changes.begin(),
+            changes.end(),
+            [](const part& share, const firm_change& change)
+            {
+                return share.server == change.server &&
+                       share.accelerators == change.bound.accelerators;
+            });
+        const bool first =
+            place->parts.front().server == changes.front().server;
+        const int rank = same ? 3 : first ? 2 : 1;
+        if (rank > best_rank)
+        {
+            best = place;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
 block_share* find_share(block& owner, int server)
 {
     const auto found = std::find_if(owner.shares.begin(),
@@ -339,23 +376,11 @@
                                  std::span<const firm_change> changes,
                                  int opened_shape)
 {
-    const auto touches = [&](const block_place& place)
-    {
-        return place.shape == opened_shape &&
-               place.parts.front().server == changes.front().server;
-    };
     auto& places = plan_.places;
     auto dropped = places.end();
     if (opened_shape > 0)
     {
-        dropped = std::find_if(places.begin(), places.end(), touches);
-        if (dropped == places.end())
-        {
-            dropped = std::find_if(places.begin(),
-                                   places.end(),
-                                   [opened_shape](const block_place& place)
-                                   { return place.shape == opened_shape; });
-        }
+        dropped = place_to_drop(places, changes, opened_shape);
         if (dropped == places.end())
         {
             return false;
--- a/src/policy/planner.cpp
+++ b/src/policy/planner.cpp
@@ -350,16 +350,8 @@
         {
             continue;
         }
-        candidate next;
-        next.cost = place->cost;
-        next.shape = shape;
-        next.spare = room - shape;
-        next.server = server;
-        next.owner = {need.customer, shape};
-        next.extent = {{server, shape}};
-        next.guests = guests_in(servers_, next.extent);
-        next.found = std::move(*place);
-        found.push_back(std::move(next));
+        found.push_back(opening(
+            need, shape, {{server, shape}}, room - shape, std::move(*place)));
     }
 }
 
@@ -378,6 +370,7 @@
         {
             in_racks(need, shape, members, find, found);
         }
+        in_planned_places(need, shape, find, found);
         return;
     }
     std::vector<int> indexes;
@@ -387,6 +380,74 @@
         indexes.insert(indexes.end(), members.begin(), members.end());
     }
     in_racks(need, shape, indexes, find, found);
+    in_planned_places(need, shape, find, found);
+}
+
+// The places of the packing held are always accepted, which the others are not
+// when the greedy packing misses one for the remaining blocks.
+void planner::in_planned_places(const job_need& need,
+                                int shape,
+                                const finder& find,
+                                std::vector<candidate>& found) const
+{
+    for (const auto& place : book_.places())
+    {
+        if (place.shape != shape)
+        {
+            continue;
+        }
+        std::vector<int> indexes;
+        for (const auto& share : place.parts)
+        {
+            indexes.push_back(share.server);
+        }
+        const auto limit = [&](int server)
+        {
+            return accelerators_on(place.parts, server);
+        };
+        const auto add = [&](std::optional<victim_plan> next)
+        {
+            if (next)
+            {
+                found.push_back(
+                    opening(need, shape, place.parts, 0, std::move(*next)));
+            }
+        };
+        if (need.accelerators > limits_.largest_server)
+        {
+            for (const auto& span : spans_for(need, indexes))
+            {
+                add(find.on_servers(span, need.accelerators, limit));
+            }
+            continue;
+        }
+        for (const int server : indexes)
+        {
+            if (limit(server) >= need.accelerators)
+            {
+                add(find.on_server(server, need.accelerators));
+            }
+        }
+    }
+}
+
+// A block of the shape at `extent`, with the job at the place found in it.
+planner::candidate planner::opening(const job_need& need,
+                                    int shape,
+                                    part_list extent,
+                                    int spare,
+                                    victim_plan place) const
+{
+    candidate next;
+    next.cost = place.cost;
+    next.shape = shape;
+    next.guests = guests_in(servers_, extent);
+    next.spare = spare;
+    next.server = place.parts.front().server;
+    next.owner = {need.customer, shape};
+    next.extent = std::move(extent);
+    next.found = std::move(place);
+    return next;
 }
 
 void planner::in_racks(const job_need& need,
@@ -420,16 +481,8 @@
         {
             return;
         }
-        candidate next;
-        next.cost = place->cost;
-        next.shape = shape;
-        next.spare = sum - shape;
-        next.server = place->parts.front().server;
-        next.owner = {need.customer, shape};
-        next.extent = std::move(*extent);
-        next.guests = guests_in(servers_, next.extent);
-        next.found = std::move(*place);
-        found.push_back(std::move(next));
+        found.push_back(opening(
+            need, shape, std::move(*extent), sum - shape, std::move(*place)));
     };
     if (need.accelerators > limits_.largest_server)
     {
--- a/src/policy/planner.hpp
+++ b/src/policy/planner.hpp
@@ -88,6 +88,15 @@
                             int shape,
                             const finder& find,
                             std::vector<candidate>& found) const;
+    void in_planned_places(const job_need& need,
+                           int shape,
+                           const finder& find,
+                           std::vector<candidate>& found) const;
+    candidate opening(const job_need& need,
+                      int shape,
+                      part_list extent,
+                      int spare,
+                      victim_plan place) const;
     void in_racks(const job_need& need,
                   int shape,
                   const std::vector<int>& indexes,
--- a/tests/policy_property_test.cpp
+++ b/tests/policy_property_test.cpp
@@ -19,6 +19,8 @@
 {
 
 constexpr int sequences = 150;
+// Seed 824 found a large block whose only place was the one in the packing.
+constexpr int drills = 1000;
 constexpr int steps = 400;
 constexpr int per_rack = 2;
 
@@ -473,7 +475,7 @@
 // Guards against an invariant that is true only in the scheduler's own books.
 TEST(scheduler_properties, all_guarantees_are_reclaimed_in_one_go)
 {
-    for (unsigned seed = 0; seed < sequences; ++seed)
+    for (unsigned seed = 0; seed < drills; ++seed)
     {
         shadow world(seed, true);
         for (int i = 0; i < steps / 2; ++i)
