--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -35,6 +35,12 @@
 constexpr milliseconds close_limit{500};
 constexpr std::size_t close_read_bytes = std::size_t{1024} * 1024;
 
+// Highest limit of a header, and most input held at a time. Beast throws an
+// exception, outside of any coroutine, for a field of 64 KiB; the limit of the
+// header does not cover the trailer of a chunked body, the buffer does.
+constexpr std::uint32_t most_header_bytes = 32 * 1024;
+constexpr std::size_t most_buffered_bytes = std::size_t{48} * 1024;
+
 constexpr std::size_t read_bytes = std::size_t{16} * 1024;
 constexpr int http_1_1 = 11;
 
@@ -70,10 +76,7 @@
     if (error == http::error::header_limit)
     {
         return error_response(431,
-                              {result_code::bad_request,
-                               "header is longer than " +
-                                   std::to_string(settings.max_header_bytes) +
-                                   " bytes"});
+                              {result_code::bad_request, "header is too long"});
     }
     if (error == http::error::body_limit)
     {
@@ -131,8 +134,9 @@
                        const http_server_settings& settings,
                        http_handler dispatch)
     : socket_(std::move(socket)), limit_timer_(socket_.get_executor()),
-      response_timer_(socket_.get_executor()), settings_(settings),
-      dispatch_(std::move(dispatch)), peer_(peer_of(socket_))
+      response_timer_(socket_.get_executor()), buffer_(most_buffered_bytes),
+      settings_(settings), dispatch_(std::move(dispatch)),
+      peer_(peer_of(socket_))
 {
 }
 
@@ -212,7 +216,7 @@
 
 asio::awaitable<bool> connection::read_request(parser& input)
 {
-    input.header_limit(settings_.max_header_bytes);
+    input.header_limit(std::min(settings_.max_header_bytes, most_header_bytes));
     input.body_limit(settings_.max_body_bytes);
     const bool header = co_await read_header(input);
     if (!header)
