Retry a failed job on another backend server

Cause: the tightest place of a failed idempotent job was again the bad backend server, so that up to three jobs used up their retries there before the server was excluded (seen with real processes: 7 starts for 4 jobs).

Ruled out: excluding a server after one failure, because one broken job would then exclude every server; counting failures on different servers only, because a job that fails everywhere would run nine times on two servers.

Change: free places on servers where the job has not failed come first; failures that were all on one server count up to nine, else up to three.

--- a/src/control/zone_attempts.cpp
+++ b/src/control/zone_attempts.cpp
@@ -11,8 +11,10 @@
 namespace
 {
 
-// Failed attempts of an idempotent job before it counts as failed.
+// Failed attempts of an idempotent job before it counts as failed, and the same
+// while all were on one backend server, which may be what is at fault.
 constexpr int most_failures = 3;
+constexpr int most_failures_on_one_server = 9;
 constexpr milliseconds table_down_wait{2000};
 constexpr milliseconds first_refusal_wait{250};
 constexpr int most_refusal_doublings = 4;
@@ -294,8 +296,11 @@
 {
     entry->ran = true;
     ++entry->failures;
+    entry->failed_on.insert(entry->run->fault_server());
+    const int most = entry->failed_on.size() > 1 ? most_failures
+                                                 : most_failures_on_one_server;
     const bool again = entry->item.idempotent && !entry->cancel_requested &&
-                       entry->failures < most_failures;
+                       entry->failures < most;
     if (again)
     {
         requeue(entry, entry->run->fault_server());
--- a/src/control/zone_core.hpp
+++ b/src/control/zone_core.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -78,6 +79,8 @@
     // Attempts up to this one are proved not to have run.
     int not_run_up_to = 0;
     int failures = 0;
+    // Backend servers on which it failed.
+    std::set<std::string> failed_on;
     int refusals = 0;
     std::vector<placement_part> parts;
     std::vector<lease_token> tokens;
--- a/src/policy/decision_round.cpp
+++ b/src/policy/decision_round.cpp
@@ -427,6 +427,10 @@
     }
     const bool entitled =
         need.accelerators > 0 && need.accelerators <= largest_held;
+    if (auto plan = plan_elsewhere(entry, need, entitled, search))
+    {
+        return plan;
+    }
     if (auto plan = free_plan(need, entitled, search))
     {
         return plan;
@@ -450,6 +454,25 @@
     return plan;
 }
 
+// Free place of a job that has failed, on servers where it has not. There may
+// be none, so the job may come back to a server where it failed.
+std::optional<job_plan> decision_round::plan_elsewhere(const job_entry& entry,
+                                                       job_need need,
+                                                       bool entitled,
+                                                       planner& search)
+{
+    if (entry.failed_on.empty())
+    {
+        return std::nullopt;
+    }
+    need.avoided = entry.failed_on;
+    if (auto plan = free_plan(need, entitled, search))
+    {
+        return plan;
+    }
+    return search.borrowed(need);
+}
+
 // A patient job that can checkpoint takes a free place outside its guarantee
 // before a task is preempted for it, and the tighter of the two places, so that
 // large shapes stay open: if it is preempted later, it loses little. Other
--- a/src/policy/decision_round.hpp
+++ b/src/policy/decision_round.hpp
@@ -58,6 +58,10 @@
     void block(lane& waiting, wait_reason reason);
     std::optional<wait_reason> try_job(job_entry& entry);
     std::optional<job_plan> plan_for(const job_entry& entry);
+    std::optional<job_plan> plan_elsewhere(const job_entry& entry,
+                                           job_need need,
+                                           bool entitled,
+                                           planner& search);
     std::optional<job_plan>
     free_plan(const job_need& need, bool entitled, planner& search);
     std::optional<job_plan> reclaiming_plan(const job_need& need,
--- a/src/policy/planner.cpp
+++ b/src/policy/planner.cpp
@@ -178,26 +178,31 @@
 {
 }
 
-planner::finder planner::free_finder() const
+planner::finder planner::free_finder(const job_need& need) const
 {
     finder result;
-    result.on_server = [this](int server,
-                              int accelerators) -> std::optional<victim_plan>
+    result.on_server = [this,
+                        &need](int server,
+                               int accelerators) -> std::optional<victim_plan>
     {
-        if (free_room(servers_.at(server)) < accelerators)
+        if (need.avoided.contains(server) ||
+            free_room(servers_.at(server)) < accelerators)
         {
             return std::nullopt;
         }
         return victim_plan{0, {}, {{server, accelerators}}};
     };
-    result.on_servers = [this](const std::vector<int>& indexes,
-                               int accelerators,
-                               const std::function<int(int)>& limit)
+    result.on_servers = [this, &need](const std::vector<int>& indexes,
+                                      int accelerators,
+                                      const std::function<int(int)>& limit)
         -> std::optional<victim_plan>
     {
         const auto room = [&](int server)
         {
-            return std::min(limit(server), free_room(servers_.at(server)));
+            return need.avoided.contains(server)
+                       ? 0
+                       : std::min(limit(server),
+                                  free_room(servers_.at(server)));
         };
         auto parts = fill_smallest_first(indexes, accelerators, room);
         if (!parts)
@@ -562,7 +567,7 @@
 
 std::optional<job_plan> planner::in_guarantee(const job_need& need)
 {
-    return in_own_guarantee(need, free_finder());
+    return in_own_guarantee(need, free_finder(need));
 }
 
 std::optional<job_plan> planner::reclaimed(const job_need& need)
@@ -598,6 +603,10 @@
 // jobs that find no other place.
 bool planner::open_to(const job_need& need, int server, bool urgent_first) const
 {
+    if (need.avoided.contains(server))
+    {
+        return false;
+    }
     const auto& item = servers_.at(server);
     return item.reserved_for == 0 || item.reserved_for == need.number ||
            need.expected_end <= item.reserved_from || urgent_first;
@@ -608,7 +617,8 @@
 {
     if (need.accelerators == 0)
     {
-        const int server = servers_.slot_server([](int) { return true; });
+        const int server = servers_.slot_server(
+            [&need](int index) { return !need.avoided.contains(index); });
         return server < 0 ? std::nullopt
                           : std::optional<part_list>(part_list{{server, 0}});
     }
@@ -645,10 +655,14 @@
            book_.keeps(servers_, limits_, firm_of_pinned(parts), 0);
 }
 
-std::optional<part_list> planner::pinned_slot(const job_need&)
+std::optional<part_list> planner::pinned_slot(const job_need& need)
 {
-    const auto accepts = [this](int server)
+    const auto accepts = [this, &need](int server)
     {
+        if (need.avoided.contains(server))
+        {
+            return false;
+        }
         const bool harmless = servers_.at(server).info.accelerators == 0;
         return harmless || keeps_pinned({{server, 0}});
     };
--- a/src/policy/planner.hpp
+++ b/src/policy/planner.hpp
@@ -27,6 +27,8 @@
     bool urgent = false;
     bool idempotent = true;
     bool can_checkpoint = false;
+    // Servers that are left out of free places.
+    std::set<int> avoided;
     // When the job is expected to end if it starts now, for backfill.
     time_point expected_end = no_deadline;
 };
@@ -73,7 +75,7 @@
     struct finder;
     struct candidate;
 
-    finder free_finder() const;
+    finder free_finder(const job_need& need) const;
     finder victim_finder(const victim_cost& cost) const;
 
     std::vector<std::vector<int>>
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -331,6 +331,7 @@
     if (server >= 0)
     {
         state_->server_failed(server, *entry, now);
+        entry->failed_on.insert(server);
     }
     state_->release(*entry);
     state_->enqueue(*entry);
--- a/src/policy/zone_state.hpp
+++ b/src/policy/zone_state.hpp
@@ -50,6 +50,8 @@
     // It was placed once, so "not run" can no longer be promised.
     bool was_placed = false;
     time_point started{};
+    // Servers on which it failed; others are preferred.
+    std::set<int> failed_on;
     // Place of a claimed job.
     job_plan plan;
 
--- a/tests/policy_rules_test.cpp
+++ b/tests/policy_rules_test.cpp
@@ -392,6 +392,28 @@
     CHECK_EQUAL(14, zone.free_accelerators());
 }
 
+// Guards against a bad server that takes the same job again and again, until
+// the job has used up its retries.
+TEST(scheduler_rules, failed_job_prefers_another_server)
+{
+    for (const int accelerators : {0, 2})
+    {
+        scheduler zone("z");
+        zone.set_sheet(plan_of(2, {{"a", "z", 4, 1}}));
+        add_servers(zone, 1, 2, 8);
+        zone.submit(make_job("a", "1", accelerators), start);
+        const auto first = zone.decide(start).at(0).parts.at(0).server;
+        zone.on_started("a/1", start);
+        zone.requeue("a/1", first, start);
+        const auto second = zone.decide(start).at(0).parts.at(0).server;
+        CHECK(first != second);
+        // With no other server the job goes back to the first.
+        zone.set_placeable(second, false);
+        zone.requeue("a/1", second, start);
+        CHECK_EQUAL(first, zone.decide(start).at(0).parts.at(0).server);
+    }
+}
+
 // Guards against excluding servers for what their tasks did not cause: a burst
 // of cancellations, or one kind that fails everywhere.
 TEST(scheduler_rules, healthy_servers_stay)
--- a/tests/zone_scheduler_test.cpp
+++ b/tests/zone_scheduler_test.cpp
@@ -175,6 +175,22 @@
     CHECK(zone.all.executions[0].how == task_state::stopped);
 }
 
+// Guards against a bad backend server that alone costs a job its retries.
+TEST(zone_scheduler, one_bad_server_does_not_fail_a_job)
+{
+    zone.accept(make_job("long", 1, true), zone.a, 60000);
+    zone.run(500);
+    // The tightest place for the next job is beside the long one.
+    for (auto& server : zone.all.servers)
+    {
+        server.fails_tasks = server.id == zone.all.executions.at(0).server;
+    }
+    zone.accept(make_job("1", 1, true), zone.a);
+    zone.run(20000);
+    CHECK(zone.state("bead/1") == job_state::done);
+    CHECK_EQUAL(2, zone.all.executions_of("bead/1"));
+}
+
 // Guards against endless repeats of a job that fails, and against a retry of
 // one that must not run twice.
 TEST(zone_scheduler, repeats_failed_idempotent_job_thrice)
