--- a/measure/process_figures.cpp
+++ b/measure/process_figures.cpp
@@ -334,6 +334,22 @@
     return cost;
 }
 
+// Bytes that crossed the loopback device, of all processes together.
+double loopback_bytes()
+{
+    std::ifstream devices("/proc/net/dev");
+    std::string line;
+    while (std::getline(devices, line))
+    {
+        const auto name = line.find("lo:");
+        if (name != std::string::npos)
+        {
+            return std::stod(line.substr(name + 3));
+        }
+    }
+    return 0;
+}
+
 // Largest cost of any entry VM over some seconds.
 void control_cost(std::ostream& out,
                   const process_set& processes,
@@ -345,7 +361,9 @@
     {
         before[entry.pid] = cost_of(entry.pid);
     }
+    const double bytes_before = loopback_bytes();
     std::this_thread::sleep_for(watched);
+    const double bytes = loopback_bytes() - bytes_before;
     double cpu_share = 0;
     double resident = 0;
     for (const auto& entry : processes.entries)
@@ -358,6 +376,12 @@
     }
     print(out, {"control.cpu_share." + load, cpu_share, "cores", 0, 0});
     print(out, {"control.resident_bytes." + load, resident, "bytes", 0, 0});
+    print(out,
+          {"control.loopback_bytes_per_second." + load,
+           bytes / static_cast<double>(watched.count()),
+           "B/s of all processes",
+           0,
+           0});
 }
 
 void control_costs(std::ostream& out, const process_set& processes)
--- a/src/cli/api_client.cpp
+++ b/src/cli/api_client.cpp
@@ -48,4 +48,16 @@
     return reply;
 }
 
+std::vector<std::pair<std::string, api_reply>>
+api_client::call_each(const http_request& request)
+{
+    std::vector<std::pair<std::string, api_reply>> replies;
+    replies.reserve(servers_.size());
+    for (const auto& server : servers_)
+    {
+        replies.emplace_back(server, send_(server, request, timeout_));
+    }
+    return replies;
+}
+
 } // namespace poplarramp
--- a/src/cli/api_client.hpp
+++ b/src/cli/api_client.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace poplarramp
@@ -50,6 +51,11 @@
     // A request that may have been handled is sent again only if `repeatable`.
     api_reply call(http_request request, milliseconds wait, bool repeatable);
 
+    // Sends a request to every entry VM; replies in the order given, with the
+    // address that was asked.
+    std::vector<std::pair<std::string, api_reply>>
+    call_each(const http_request& request);
+
 private:
     std::vector<std::string> servers_;
     std::string token_;
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -84,6 +84,13 @@
     add_wait(all, line);
 }
 
+void add_burn(options::options_description& all, command_line& line)
+{
+    all.add_options()("html",
+                      options::value(&line.html_file),
+                      "also write the report as an HTML page to this file");
+}
+
 constexpr std::array commands{
     command{"serve", "", "run an entry VM", false, add_serve},
     command{"check-settings", "FILE", "check a settings file"},
@@ -99,6 +106,11 @@
             "LIST",
             "print zones, backend-servers, customers, jobs, vms or config",
             true},
+    command{"burn",
+            "",
+            "print the service-level burn of the --server entry VMs",
+            true,
+            add_burn},
 };
 
 constexpr std::array<std::string_view, 6> lists{
--- a/src/cli/command_line.hpp
+++ b/src/cli/command_line.hpp
@@ -30,6 +30,9 @@
     bool dry_run = false;
     std::uint64_t expected_version = 0;
 
+    // Where to write the burn report as a page; empty: nowhere.
+    std::string html_file;
+
     std::string customer;
     std::string key;
     std::string kind;
--- a/src/cli/remote.cpp
+++ b/src/cli/remote.cpp
@@ -1,5 +1,6 @@
 #include "cli/remote.hpp"
 
+#include "cli/burn_report.hpp"
 #include "cli/cli.hpp"
 #include "cli/text_table.hpp"
 #include "config/json_file.hpp"
@@ -458,6 +459,10 @@
     {
         return set_zone(line, "back", client, out);
     }
+    if (line.command == "burn")
+    {
+        return run_burn_report(line, client, out);
+    }
     if (line.command == "submit")
     {
         return submit(line, client, out);
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -107,6 +107,7 @@
         route{"POST", "/v1/sheet", true, &api::apply_sheet},
         route{"POST", "/v1/zones/{}/out", true, &api::zone_out},
         route{"POST", "/v1/zones/{}/back", true, &api::zone_back},
+        route{"GET", "/v1/burn", false, &api::show_burn},
         route{"GET", "/metrics", false, &api::show_metrics},
         route{"GET", "/health", false, &api::show_health},
     };
@@ -225,6 +226,27 @@
     sample.code = item.outcome.code;
     sample.completion = now_() - item.accepted;
     metrics_.record(sample);
+    count_objective(sample);
+}
+
+// A job meets its objective if its whole answer came in time. A cancelled job
+// is no failure of the service.
+void api::count_objective(const job_sample& sample)
+{
+    const auto* kind = find_kind(control_.config().plan, sample.kind);
+    if (kind == nullptr || kind->objective_within == milliseconds(0) ||
+        sample.code == result_code::cancelled)
+    {
+        return;
+    }
+    const bool met = sample.code == result_code::ok &&
+                     sample.completion <= kind->objective_within;
+    burn_.record(sample.customer,
+                 sample.zone,
+                 sample.kind,
+                 kind->objective_share,
+                 met,
+                 now_());
 }
 
 void api::submit(call& item)
@@ -404,6 +426,14 @@
                        value(status.largest_open_shape));
 }
 
+void api::show_burn(call& item)
+{
+    Json::Value body;
+    const auto rows = burn_.rows(now_());
+    body["rows"] = to_json(std::span<const burn_row>(rows));
+    item.respond(json_response({}, std::move(body)));
+}
+
 void api::show_metrics(call& item)
 {
     set_gauges();
--- a/src/entry/api.hpp
+++ b/src/entry/api.hpp
@@ -6,6 +6,7 @@
 #include "config/settings.hpp"
 #include "control/controller.hpp"
 #include "http/message.hpp"
+#include "report/burn.hpp"
 #include "report/metrics.hpp"
 
 #include <functional>
@@ -72,6 +73,8 @@
     void show_customers(call& item);
     void show_vms(call& item);
     void show_config(call& item);
+    void count_objective(const job_sample& sample);
+    void show_burn(call& item);
     void show_metrics(call& item);
     void show_health(call& item);
 
@@ -86,6 +89,7 @@
     clock_mapping clock_;
     std::function<time_point()> now_;
     metrics metrics_;
+    burn_counter burn_;
     bool was_scheduler_ = false;
     bool stopping_ = false;
 };
--- a/src/model/sheet.hpp
+++ b/src/model/sheet.hpp
@@ -66,8 +66,8 @@
     milliseconds expected_run{0};
     // Time that a checkpoint takes.
     milliseconds checkpoint_time{0};
-    // Service-level objective: start (urgent) or end (patient) within this time
-    // of acceptance, for the given share of jobs.
+    // Service-level objective: the whole answer within this time of acceptance,
+    // for the given share of jobs; 0: none.
     milliseconds objective_within{0};
     double objective_share = 0.99;
 };
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -143,6 +143,27 @@
 
 TEST_GROUP(command_line){};
 
+// Guards against a burn report that counts one entry VM only, or that hides an
+// entry VM that did not answer.
+TEST(cli, burn_merges_all_entry_vms)
+{
+    job item;
+    item.request = request_of("check", "k");
+    item.zone = "a";
+    item.accepted = entry.world.now;
+    entry.target.on_job_ended(item);
+    CHECK_EQUAL(
+        0, execute({"burn", "--output=json", "--server=s1", "--server=s2"}));
+    CHECK(called == std::vector<std::string>({"s1", "s2"}));
+    failure why;
+    const auto rows = parse_json(text.str(), why).value()["rows"];
+    CHECK_EQUAL(1U, rows.size());
+    CHECK_EQUAL(2, rows[0]["long_good"].asInt());
+    failing = 1;
+    CHECK_EQUAL(4, execute({"burn", "--server=s1", "--server=s2"}));
+    STRCMP_CONTAINS("s1", errors.str().c_str());
+}
+
 // Guards against wrong arguments that start a command with a default.
 TEST(command_line, refuses_wrong_arguments)
 {
--- a/tests/control_fakes.cpp
+++ b/tests/control_fakes.cpp
@@ -623,6 +623,7 @@
     job_kind glaze;
     glaze.name = "glaze";
     glaze.expected_run = milliseconds(60000);
+    check.objective_within = milliseconds(9800);
     plan.kinds = {check, tint, glaze};
     return plan;
 }
