Count ended jobs in the running process

Cause: the hook of the controller that reports ended jobs was never set by the process, so that the metrics page and the burn report stayed empty; the tests of the API call the function directly.

Ruled out: the objective of the kind; the metrics page had no rows either.

Change: the process sets the hook, and gives the controller its clock.

--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -175,6 +175,11 @@
     {
         return random_();
     };
+    hooks.clock = clock_;
+    hooks.on_job_ended = [this](const job& item)
+    {
+        api_.on_job_ended(item);
+    };
     return hooks;
 }
 
