--- a/src/entry/replies.cpp
+++ b/src/entry/replies.cpp
@@ -1,6 +1,7 @@
 #include "entry/replies.hpp"
 
 #include "http/json_reply.hpp"
+#include "inner/message_codec.hpp"
 #include "model/codec.hpp"
 
 namespace poplarramp
@@ -47,47 +48,6 @@
     return json;
 }
 
-Json::Value to_json(const server_row& row)
-{
-    Json::Value json;
-    json["id"] = row.id;
-    json["rack"] = row.rack;
-    json["zone"] = row.zone;
-    json["state"] = row.state;
-    json["accelerators"] = row.accelerators;
-    json["used_accelerators"] = row.used_accelerators;
-    json["used_slots"] = row.used_slots;
-    json["epoch"] = to_json(row.epoch);
-    return json;
-}
-
-Json::Value to_json(const customer_row& row)
-{
-    Json::Value json;
-    json["customer"] = row.customer;
-    json["zone"] = row.zone;
-    json["guaranteed"] = row.guaranteed;
-    json["in_guarantee"] = row.in_guarantee;
-    json["borrowed"] = row.borrowed;
-    json["queued"] = row.queued;
-    json["reclaimable"] = row.reclaimable;
-    return json;
-}
-
-Json::Value to_json(const job_row& row)
-{
-    Json::Value json;
-    json["customer"] = row.customer;
-    json["key"] = row.key;
-    json["kind"] = row.kind;
-    json["zone"] = row.zone;
-    json["state"] = row.state;
-    json["accelerators"] = row.accelerators;
-    json["servers"] = row.servers;
-    json["explanation"] = row.explanation;
-    return json;
-}
-
 Json::Value to_json(const vm_row& row)
 {
     Json::Value json;
--- a/src/inner/message_codec.cpp
+++ b/src/inner/message_codec.cpp
@@ -16,47 +16,6 @@
     return {static_cast<Json::UInt64>(value)};
 }
 
-Json::Value to_json(const server_row& row)
-{
-    Json::Value json;
-    json["id"] = row.id;
-    json["rack"] = row.rack;
-    json["zone"] = row.zone;
-    json["state"] = row.state;
-    json["accelerators"] = row.accelerators;
-    json["used_accelerators"] = row.used_accelerators;
-    json["used_slots"] = row.used_slots;
-    json["epoch"] = to_json(row.epoch);
-    return json;
-}
-
-Json::Value to_json(const customer_row& row)
-{
-    Json::Value json;
-    json["customer"] = row.customer;
-    json["zone"] = row.zone;
-    json["guaranteed"] = row.guaranteed;
-    json["in_guarantee"] = row.in_guarantee;
-    json["borrowed"] = row.borrowed;
-    json["queued"] = row.queued;
-    json["reclaimable"] = row.reclaimable;
-    return json;
-}
-
-Json::Value to_json(const job_row& row)
-{
-    Json::Value json;
-    json["customer"] = row.customer;
-    json["key"] = row.key;
-    json["kind"] = row.kind;
-    json["zone"] = row.zone;
-    json["state"] = row.state;
-    json["accelerators"] = row.accelerators;
-    json["servers"] = row.servers;
-    json["explanation"] = row.explanation;
-    return json;
-}
-
 template <class Item>
 Json::Value list_to_json(const std::vector<Item>& items)
 {
@@ -131,6 +90,47 @@
 
 } // namespace
 
+Json::Value to_json(const server_row& row)
+{
+    Json::Value json;
+    json["id"] = row.id;
+    json["rack"] = row.rack;
+    json["zone"] = row.zone;
+    json["state"] = row.state;
+    json["accelerators"] = row.accelerators;
+    json["used_accelerators"] = row.used_accelerators;
+    json["used_slots"] = row.used_slots;
+    json["epoch"] = to_json(row.epoch);
+    return json;
+}
+
+Json::Value to_json(const customer_row& row)
+{
+    Json::Value json;
+    json["customer"] = row.customer;
+    json["zone"] = row.zone;
+    json["guaranteed"] = row.guaranteed;
+    json["in_guarantee"] = row.in_guarantee;
+    json["borrowed"] = row.borrowed;
+    json["queued"] = row.queued;
+    json["reclaimable"] = row.reclaimable;
+    return json;
+}
+
+Json::Value to_json(const job_row& row)
+{
+    Json::Value json;
+    json["customer"] = row.customer;
+    json["key"] = row.key;
+    json["kind"] = row.kind;
+    json["zone"] = row.zone;
+    json["state"] = row.state;
+    json["accelerators"] = row.accelerators;
+    json["servers"] = row.servers;
+    json["explanation"] = row.explanation;
+    return json;
+}
+
 void write_failure(Json::Value& json, const failure& error)
 {
     json["code"] = static_cast<int>(error.code);
--- a/src/inner/message_codec.hpp
+++ b/src/inner/message_codec.hpp
@@ -22,6 +22,10 @@
 Json::Value to_json(const heartbeat& message);
 Json::Value to_json(const job_status_reply& reply);
 Json::Value to_json(const zone_status& status);
+// Rows of lists, the same towards operators.
+Json::Value to_json(const server_row& row);
+Json::Value to_json(const customer_row& row);
+Json::Value to_json(const job_row& row);
 
 // `bad_request` also for a closing without an availability zone and for a
 // heartbeat without id or incarnation, which could not be matched to a VM.
--- a/src/model/codec.cpp
+++ b/src/model/codec.cpp
@@ -97,17 +97,6 @@
         .read("answer_object", outcome.answer_object);
 }
 
-void read_urgency(json_reader& reader, urgency& target)
-{
-    reader.read_name("urgency",
-                     [&target](std::string_view name)
-                     {
-                         target = name == "urgent" ? urgency::urgent
-                                                   : urgency::patient;
-                         return name == "urgent" || name == "patient";
-                     });
-}
-
 void read_attempt(json_reader& reader, attempt_record& attempt)
 {
     reader.read("number", attempt.number)
@@ -122,8 +111,8 @@
     reader.read_object("request",
                        [&](json_reader& request)
                        { read_request(request, item.request, clock); });
-    read_urgency(reader, item.urgency_class);
-    reader.read("idempotent", item.idempotent)
+    reader.read_named("urgency", item.urgency_class, urgency_of)
+        .read("idempotent", item.idempotent)
         .read("can_checkpoint", item.can_checkpoint)
         .read("can_stop", item.can_stop)
         .read("expected_run_ms", item.expected_run)
@@ -202,8 +191,7 @@
 {
     Json::Value json;
     json["request"] = to_json(item.request, clock);
-    json["urgency"] =
-        item.urgency_class == urgency::urgent ? "urgent" : "patient";
+    json["urgency"] = std::string(name_of(item.urgency_class));
     json["idempotent"] = item.idempotent;
     json["can_checkpoint"] = item.can_checkpoint;
     json["can_stop"] = item.can_stop;
--- a/src/model/json_reader.hpp
+++ b/src/model/json_reader.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,22 @@
     read_name(const char* name,
               const std::function<bool(std::string_view)>& convert);
 
+    // Reads a member that names a value; `parse` returns nothing for a name it
+    // does not know.
+    template <class Value>
+    json_reader& read_named(const char* name,
+                            Value& target,
+                            std::optional<Value> (*parse)(std::string_view))
+    {
+        return read_name(name,
+                         [&target, parse](std::string_view text)
+                         {
+                             const auto value = parse(text);
+                             target = value.value_or(target);
+                             return value.has_value();
+                         });
+    }
+
     // Calls `read_item` with a reader for each object of an array member.
     json_reader&
     read_each(const char* name,
--- a/src/model/sheet.cpp
+++ b/src/model/sheet.cpp
@@ -20,6 +20,24 @@
 
 } // namespace
 
+std::string_view name_of(urgency value)
+{
+    return value == urgency::urgent ? "urgent" : "patient";
+}
+
+std::optional<urgency> urgency_of(std::string_view name)
+{
+    if (name == "urgent")
+    {
+        return urgency::urgent;
+    }
+    if (name == "patient")
+    {
+        return urgency::patient;
+    }
+    return std::nullopt;
+}
+
 const customer* find_customer(const sheet& plan, std::string_view name)
 {
     return find_by_name(plan.customers, name);
--- a/src/model/sheet.hpp
+++ b/src/model/sheet.hpp
@@ -18,6 +18,10 @@
     patient,
 };
 
+std::string_view name_of(urgency value);
+// Nothing for an unknown name.
+std::optional<urgency> urgency_of(std::string_view name);
+
 // Servers of one rack that have the same number of accelerators.
 struct rack_plan
 {
--- a/src/model/sheet_codec.cpp
+++ b/src/model/sheet_codec.cpp
@@ -53,8 +53,7 @@
 {
     Json::Value json;
     json["name"] = kind.name;
-    json["urgency"] =
-        kind.urgency_class == urgency::urgent ? "urgent" : "patient";
+    json["urgency"] = std::string(name_of(kind.urgency_class));
     json["idempotent"] = kind.idempotent;
     json["can_checkpoint"] = kind.can_checkpoint;
     json["can_stop"] = kind.can_stop;
@@ -127,13 +126,7 @@
 void read_kind(json_reader& reader, job_kind& kind)
 {
     reader.read("name", kind.name)
-        .read_name("urgency",
-                   [&kind](std::string_view name)
-                   {
-                       kind.urgency_class = name == "urgent" ? urgency::urgent
-                                                             : urgency::patient;
-                       return name == "urgent" || name == "patient";
-                   })
+        .read_named("urgency", kind.urgency_class, urgency_of)
         .read("idempotent", kind.idempotent)
         .read("can_checkpoint", kind.can_checkpoint)
         .read("can_stop", kind.can_stop)
--- /dev/null
+++ b/src/policy/extent.cpp
@@ -0,0 +1,131 @@
+#include "policy/extent.hpp"
+
+#include <algorithm>
+
+namespace poplarramp
+{
+
+int accelerators_on(const part_list& parts, int server)
+{
+    for (const auto& share : parts)
+    {
+        if (share.server == server)
+        {
+            return share.accelerators;
+        }
+    }
+    return 0;
+}
+
+int unbound_room(const server_state& server)
+{
+    const auto left = server.unbound();
+    const bool usable = server.placeable() && left.slots > 0;
+    return usable ? std::max(0, left.accelerators) : 0;
+}
+
+int guests_in(const cluster& servers, const part_list& extent)
+{
+    int sum = 0;
+    for (const auto& share : extent)
+    {
+        const int free = servers.at(share.server).free_outside_blocks();
+        sum += std::max(0, share.accelerators - free);
+    }
+    return sum;
+}
+
+int free_room(const server_state& server)
+{
+    const auto left = server.free();
+    return server.placeable() && left.slots > 0 ? left.accelerators : 0;
+}
+
+std::optional<part_list> widen(const cluster& servers,
+                               std::span<const int> indexes,
+                               const part_list& parts,
+                               bool parts_are_bound,
+                               int missing)
+{
+    const auto room = [&](int server)
+    {
+        return unbound_room(servers.at(server)) -
+               (parts_are_bound ? 0 : accelerators_on(parts, server));
+    };
+    const auto rest = fill_smallest_first(indexes, missing, room);
+    if (!rest)
+    {
+        return std::nullopt;
+    }
+    auto extent = parts;
+    for (const auto& share : *rest)
+    {
+        const auto same = std::find_if(
+            extent.begin(),
+            extent.end(),
+            [&](const part& known) { return known.server == share.server; });
+        if (same == extent.end())
+        {
+            extent.push_back(share);
+        }
+        else
+        {
+            same->accelerators += share.accelerators;
+        }
+    }
+    return extent;
+}
+
+std::vector<firm_change> firm_of_extent(const part_list& extent,
+                                        const part_list& parts)
+{
+    std::vector<firm_change> changes;
+    for (const auto& share : extent)
+    {
+        block_share bound{share.server, share.accelerators, 0, 0};
+        for (const auto& taken : parts)
+        {
+            const bool here = taken.server == share.server;
+            bound.used += here ? taken.accelerators : 0;
+            bound.tasks += here ? 1 : 0;
+        }
+        changes.push_back({share.server, {bound.size, bound.slots()}});
+    }
+    return changes;
+}
+
+std::vector<firm_change> firm_of_entry(const block& target,
+                                       const part_list& parts)
+{
+    std::vector<firm_change> changes;
+    for (const auto& taken : parts)
+    {
+        for (auto share : target.shares)
+        {
+            if (share.server != taken.server)
+            {
+                continue;
+            }
+            const int before = share.slots();
+            share.used += taken.accelerators;
+            share.tasks += 1;
+            if (share.slots() != before)
+            {
+                changes.push_back({share.server, {0, share.slots() - before}});
+            }
+        }
+    }
+    return changes;
+}
+
+std::vector<firm_change> firm_of_pinned(const part_list& parts)
+{
+    std::vector<firm_change> changes;
+    for (const auto& share : parts)
+    {
+        changes.push_back({share.server, {share.accelerators, 1}});
+    }
+    return changes;
+}
+
+} // namespace poplarramp
--- a/src/policy/planner.hpp
+++ b/src/policy/planner.hpp
@@ -4,11 +4,13 @@
 #define POPLARRAMP_POLICY_PLANNER_HPP
 
 #include "policy/cluster.hpp"
+#include "policy/extent.hpp"
 #include "policy/guarantee.hpp"
 #include "policy/placement.hpp"
 #include "policy/victims.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -72,7 +74,17 @@
     int room_left(const job_plan& plan) const;
 
 private:
-    struct finder;
+    // How a place is sought: only in what is free, or with victims.
+    struct finder
+    {
+        std::function<std::optional<victim_plan>(int server, int accelerators)>
+            on_server;
+        std::function<std::optional<victim_plan>(
+            const std::vector<int>& servers,
+            int accelerators,
+            const std::function<int(int)>& limit)>
+            on_servers;
+    };
     struct candidate;
 
     finder free_finder(const job_need& need) const;
@@ -138,25 +150,6 @@
     bool feasible_;
 };
 
-// Accelerators usable now on a placeable server; 0 if it has no free slot.
-int free_room(const server_state& server);
-
-// The parts, widened by `missing` accelerators of the servers given, smallest
-// rooms first. `parts_are_bound`: the parts are already firm.
-std::optional<part_list> widen(const cluster& servers,
-                               std::span<const int> indexes,
-                               const part_list& parts,
-                               bool parts_are_bound,
-                               int missing);
-
-// Firm amounts that opening or entering a block binds.
-std::vector<firm_change> firm_of_extent(const part_list& extent,
-                                        const part_list& parts);
-std::vector<firm_change> firm_of_entry(const block& target,
-                                       const part_list& parts);
-// Firm amounts of a pinned borrowed task.
-std::vector<firm_change> firm_of_pinned(const part_list& parts);
-
 } // namespace poplarramp
 
 #endif
