Tick settled jobs four times a second

Cause: each tick (25 ms) stepped every running job: 0.045 core for 1,400 tasks, 0.09 core for the 2,900 of a zone of the target.

Ruled out: a longer tick for all; it delays retries and starts.

Change: jobs that wait for an event are stepped each 250 ms. A new measurement fills seven of eight slots.

--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -28,7 +28,7 @@
     for (const auto& item : known)
     {
         const bool wanted =
-            names.empty() ||
+            (names.empty() && !item.only_by_name) ||
             std::find(names.begin(), names.end(), item.name) != names.end();
         if (wanted)
         {
--- a/measure/measurement.hpp
+++ b/measure/measurement.hpp
@@ -15,6 +15,8 @@
 {
     std::string name;
     std::function<void(std::ostream& out)> run;
+    // Left out unless it is named, because it disturbs the others.
+    bool only_by_name = false;
 };
 
 struct figure
--- a/measure/process_figures.cpp
+++ b/measure/process_figures.cpp
@@ -391,6 +391,35 @@
     control_cost(out, processes, "busy");
 }
 
+// Costs while seven of eight slots of the first availability zone run a task.
+void task_costs(std::ostream& out, const process_set& processes)
+{
+    constexpr int tasks_per_server = 7;
+    const auto& entry = processes.entries.front();
+    const auto servers = std::count_if(processes.backends.begin(),
+                                       processes.backends.end(),
+                                       [&entry](const backend_process& server)
+                                       { return server.zone == entry.zone; });
+    sync_caller caller;
+    int accepted = 0;
+    for (std::ptrdiff_t i = 0; i < servers * tasks_per_server; ++i)
+    {
+        Json::Value body;
+        body["customer"] = "beadline";
+        body["key"] = "task" + std::to_string(i);
+        body["kind"] = "shape-check";
+        body["accelerators"] = 0;
+        body["payload"] = "{\"run_ms\": 600000}";
+        http_request request;
+        request.target = "/v1/jobs";
+        request.body = json_text(body);
+        const auto reply = caller.call(entry.address, request, call_limit);
+        accepted += reply["result"].asString() == "pending" ? 1 : 0;
+    }
+    print(out, {"control.running_tasks", double(accepted), "tasks", 0, 0});
+    control_cost(out, processes, "tasks");
+}
+
 std::string scheduler_of(sync_caller& caller,
                          const process_set& processes,
                          const std::string& zone)
@@ -520,7 +549,8 @@
             {"path", bind(path_latency)},
             {"config", bind(config_in_force)},
             {"zone_out", bind(zone_out)},
-            {"owner", bind(takeover)}};
+            {"owner", bind(takeover)},
+            {"tasks", bind(task_costs), true}};
 }
 
 } // namespace poplarramp
--- a/src/control/zone_core.cpp
+++ b/src/control/zone_core.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarramp::detail
@@ -44,6 +45,26 @@
     return hooks;
 }
 
+// Jobs that wait for an event, not for a deadline, are ticked this often: a
+// tick of each running job every 25 ms cost 0.045 core with 1,400 of them.
+constexpr milliseconds full_tick_interval{250};
+
+// True if nothing but an event or a lost backend server changes the job.
+bool is_settled(const zone_job& entry)
+{
+    if (entry.phase != job_phase::running)
+    {
+        return entry.phase == job_phase::ended ||
+               entry.phase == job_phase::queued;
+    }
+    const auto& parts = entry.run->parts();
+    return !entry.run->stopping() &&
+           std::all_of(parts.begin(),
+                       parts.end(),
+                       [](const run_part& part)
+                       { return part.state == part_state::running; });
+}
+
 } // namespace
 
 zone_core::zone_core(std::string vm_name,
@@ -140,7 +161,7 @@
     release_when_settled();
     all_held = active && leases.all_held();
     takeover_done = takeover_done || all_held;
-    for (const auto& entry : all_jobs())
+    for (const auto& entry : jobs_to_tick())
     {
         tick_job(entry);
     }
@@ -206,6 +227,24 @@
     return entry;
 }
 
+std::vector<job_ptr> zone_core::jobs_to_tick()
+{
+    if (now() >= next_full_tick)
+    {
+        next_full_tick = now() + full_tick_interval;
+        return all_jobs();
+    }
+    std::vector<job_ptr> due;
+    for (const auto& [id, entry] : jobs)
+    {
+        if (!is_settled(*entry))
+        {
+            due.push_back(entry);
+        }
+    }
+    return due;
+}
+
 std::vector<job_ptr> zone_core::all_jobs() const
 {
     std::vector<job_ptr> all;
--- a/src/control/zone_core.hpp
+++ b/src/control/zone_core.hpp
@@ -118,6 +118,7 @@
     job_ptr find(std::string_view id) const;
     job_ptr add(const job& item);
     std::vector<job_ptr> all_jobs() const;
+    std::vector<job_ptr> jobs_to_tick();
     // The outcome is known. `tell_first`: `on_job_ended` need not wait for the
     // row while the table is down, because the backend server reports the same
     // to the next scheduler.
@@ -197,6 +198,7 @@
     time_point last_foreign_claim{};
     // Every server was held once since the activation.
     bool takeover_done = false;
+    time_point next_full_tick{};
     // Whether all servers were held at the last tick.
     bool all_held = false;
     std::unique_ptr<scheduler> policy;
