Write every log line as a short sentence

Cause: half of the log lines were fragments such as "adopts" or "ended", which say nothing to an operator who searches for them.

--- a/src/control/server_leases.cpp
+++ b/src/control/server_leases.cpp
@@ -351,7 +351,7 @@
     log_line(
         log_level::info,
         "lease",
-        "claimed",
+        "A backend server was claimed.",
         {{"server", lease.id}, {"epoch", std::to_string(lease.token.epoch)}});
     set_leaving(lease, lease.leaving_in_list, reply.leaving);
     hooks_.on_claimed(lease.id, reply);
@@ -480,7 +480,8 @@
     log_line(
         log_level::warning,
         "lease",
-        taken ? "taken by another owner or a restart" : "ended",
+        taken ? "A server lease was taken by another owner or a restart."
+              : "A server lease has ended.",
         {{"server", lease.id}, {"epoch", std::to_string(lease.token.epoch)}});
     lease.phase = lease_phase::unclaimed;
     lease.contested = lease.contested || taken;
--- a/src/control/zone_core.cpp
+++ b/src/control/zone_core.cpp
@@ -94,7 +94,10 @@
         releasing = false;
         leases.release_all(std::move(on_released));
     }
-    log_line(log_level::info, "sched", "activated", {{"zone", zone}});
+    log_line(log_level::info,
+             "sched",
+             "The scheduler has started.",
+             {{"zone", zone}});
     active = true;
     activated_at = now();
     last_foreign_claim = activated_at;
@@ -106,7 +109,10 @@
 
 void zone_core::deactivate(std::function<void()> released)
 {
-    log_line(log_level::info, "sched", "deactivated", {{"zone", zone}});
+    log_line(log_level::info,
+             "sched",
+             "The scheduler has stopped.",
+             {{"zone", zone}});
     active = false;
     scan.stop();
     strays.clear();
--- a/src/control/zone_queue.cpp
+++ b/src/control/zone_queue.cpp
@@ -202,7 +202,7 @@
     }
     log_line(log_level::info,
              "sched",
-             "preempts",
+             "A job is preempted.",
              {{"job", made.job_id},
               {"for", made.for_job},
               {"guarantee_of", made.for_guarantee_of}});
--- a/src/control/zone_takeover.cpp
+++ b/src/control/zone_takeover.cpp
@@ -138,7 +138,7 @@
     }
     log_line(log_level::info,
              "sched",
-             "adopts",
+             "A running task was adopted.",
              {{"task", status.item.id}, {"server", server}});
     ++entry->serial;
     withdraw(entry);
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -189,7 +189,7 @@
     }
     log_line(log_level::warning,
              "entry",
-             "refused operator call without a valid token",
+             "An operator call without a valid token was refused.",
              {{"peer", item.request.peer},
               {"method", item.request.method},
               {"path", item.request.target}});
@@ -348,8 +348,9 @@
 {
     log_line(log_level::info,
              "entry",
-             target == zone_state::out ? "operator takes zone out of service"
-                                       : "operator brings zone back",
+             target == zone_state::out
+                 ? "An operator takes the availability zone out of service."
+                 : "An operator brings the availability zone back.",
              {{"zone", item.values[0]}, {"operator", item.operator_name}});
     control_.set_zone(
         item.values[0],
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -192,7 +192,7 @@
     open_servers_ = 2;
     log_line(log_level::info,
              "entry",
-             "started",
+             "This VM has started.",
              {{"vm", values_.vm},
               {"zone", values_.zone},
               {"callers", values_.listen.callers},
@@ -227,7 +227,8 @@
     }
     log_line(graceful_ ? log_level::info : log_level::warning,
              "entry",
-             graceful_ ? "stopped" : "ended at once",
+             graceful_ ? "This VM has stopped."
+                       : "A second signal ends this VM at once.",
              {{"vm", values_.vm}});
     return graceful_;
 }
@@ -283,7 +284,7 @@
     {
         log_line(log_level::error,
                  "config",
-                 "keeping the old settings, the new ones have an error",
+                 "The new settings have an error; the old ones stay in force.",
                  {{"reason", why.reason}});
         return;
     }
@@ -291,18 +292,21 @@
     {
         log_line(log_level::warning,
                  "config",
-                 "setting changes only after a restart",
+                 "A setting changes only after a restart.",
                  {{"key", key}});
     }
     set_log_level(wanted->log.level);
     api_.set_operators(wanted->operators);
-    log_line(log_level::info, "config", "settings reloaded", {{"file", file_}});
+    log_line(log_level::info,
+             "config",
+             "The settings were reloaded.",
+             {{"file", file_}});
 }
 
 void entry_vm::begin_stop()
 {
     stopping_ = true;
-    log_line(log_level::info, "entry", "planned stop begins");
+    log_line(log_level::info, "entry", "A planned stop begins.");
     api_.begin_stop();
     controller_.begin_stop([this] { stop_servers(); });
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -135,7 +135,7 @@
         }
         log_line(log_level::warning,
                  "http",
-                 "cannot accept a connection",
+                 "A connection cannot be accepted.",
                  {{"reason", error.message()}});
         retry_timer.expires_after(accept_retry);
         co_await retry_timer.async_wait(
@@ -185,7 +185,7 @@
                            log_line(
                                log_level::error,
                                "http",
-                               "a handler failed",
+                               "A handler failed.",
                                {{"target", target}, {"reason", error.what()}});
                            respond(json_response(
                                {result_code::internal_error, error.what()}));
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -122,14 +122,14 @@
         {
             log_line(log_level::warning,
                      "store",
-                     "calls are failing, circuit opened",
+                     "Calls are failing; the circuit is open.",
                      {{"service", name_}, {"reason", error.reason}});
         }
         if (after == circuit_state::closed && before != circuit_state::closed)
         {
             log_line(log_level::info,
                      "store",
-                     "calls work again, circuit closed",
+                     "Calls work again; the circuit is closed.",
                      {{"service", name_}});
         }
     }
