Send one heartbeat for each pair of entry VMs

Cause: both of two peers sent every 300 ms although the reply is a heartbeat too; with 9 entry VMs in a zone that was the largest control traffic.

Change: the lower id sends; the other sends when it has heard nothing for 375 ms, so that a cut in one direction does not silence a pair.

--- a/src/control/heartbeats.cpp
+++ b/src/control/heartbeats.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr milliseconds own_zone_interval{300};
+// A reply is a heartbeat too, so of two peers only the one with the lower id
+// sends, and the other one if it has not heard from it for this long.
+constexpr milliseconds recently_heard{375};
 constexpr milliseconds other_zones_interval{1000};
 
 // While the view of the configuration is about to become too old for starting
@@ -115,9 +118,14 @@
 
 void heartbeats::send_to_own_zone()
 {
+    const auto now = context_.now();
     for (const auto& peer : context_.members.peers_in(context_.settings.zone))
     {
-        send(peer.address);
+        const bool recent = peer.heard && now - *peer.heard < recently_heard;
+        if (context_.settings.vm < peer.id || !recent)
+        {
+            send(peer.address);
+        }
     }
     if (context_.members.knows_peers())
     {
--- /dev/null
+++ b/tests/control_heartbeat_test.cpp
@@ -0,0 +1,51 @@
+#include "control_fakes.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+using namespace poplarramp::tests;
+
+TEST_GROUP(control_heartbeat)
+{
+    fake_world world;
+};
+
+// Guards against two heartbeats for each pair of entry VMs where one is enough:
+// heartbeats are the largest control traffic of an entry VM.
+TEST(control_heartbeat, one_of_two_peers_sends)
+{
+    constexpr int vms = 3;
+    constexpr int pairs = vms * (vms - 1) / 2;
+    world.start(vms);
+    int sent = 0;
+    world.peer_fault = [&sent](const std::string&, const std::string& method)
+    {
+        sent += method == "heartbeat" ? 1 : 0;
+        return call_fault::none;
+    };
+    world.run_for(milliseconds(3000));
+    // Two availability zones, a heartbeat each 300 ms; each VM sends one to the
+    // other availability zone each second.
+    CHECK(sent <= 2 * pairs * 11 + 2 * vms * 4);
+    CHECK(sent >= 2 * pairs * 9);
+}
+
+// Guards against a peer that waits for heartbeats which a one-way cut drops.
+TEST(control_heartbeat, both_send_while_heartbeats_are_lost)
+{
+    world.start(2);
+    world.peer_fault = [](const std::string& to, const std::string& method)
+    {
+        return method == "heartbeat" && to == "a2" ? call_fault::silent
+                                                   : call_fault::none;
+    };
+    world.run_for(milliseconds(5000));
+    for (const auto& row : world.vm("a1").control->vms())
+    {
+        CHECK(row.id != "a2" || row.state == "live");
+    }
+    for (const auto& row : world.vm("a2").control->vms())
+    {
+        CHECK(row.id != "a1" || row.state == "live");
+    }
+}
