Search the guarantee once for a job that can checkpoint

Cause: free_plan searched the places in the guarantee a second time after the borrowed ones, because that search discards the arrangement the book holds.

Ruled out: keeping two arrangements in the book; only one can be accepted.

Change: the borrowed place is sought first, so that the plan in the guarantee is usable as it is; only a tighter borrowed place is sought again.

--- a/src/policy/decision_round.cpp
+++ b/src/policy/decision_round.cpp
@@ -480,20 +480,26 @@
 std::optional<job_plan>
 decision_round::free_plan(const job_need& need, bool entitled, planner& search)
 {
+    if (!entitled)
+    {
+        return search.borrowed(need);
+    }
     const bool movable = !need.urgent && need.can_checkpoint;
-    if (entitled && !movable)
+    if (!movable)
     {
         return search.in_guarantee(need);
     }
-    auto mine = entitled ? search.in_guarantee(need) : std::nullopt;
-    auto other = search.borrowed(need);
-    if (!mine || !other)
+    const auto other = search.borrowed(need);
+    auto mine = search.in_guarantee(need);
+    const bool tighter =
+        mine && other && search.room_left(*other) < search.room_left(*mine);
+    if (mine && !tighter)
     {
-        return mine ? search.in_guarantee(need) : other;
+        return mine;
     }
-    return search.room_left(*other) < search.room_left(*mine)
-               ? other
-               : search.in_guarantee(need);
+    // The book still holds the arrangement of the place in the guarantee; a new
+    // search discards it.
+    return search.borrowed(need);
 }
 
 std::optional<job_plan> decision_round::reclaiming_plan(const job_need& need,
