Hand the leadership to a VM with a larger share; soak on real processes

Standing back decides only between VMs that look at the same time.

Change: the leader's row names its processor share; a VM with twice of it that has seen the same leader for 2 s, on a short way to the store, replaces the row.

Test, red without the change: domain_scheduler, a_larger_vm_takes_over_from_a_small_leader.

--- a/src/domain/leadership.cpp
+++ b/src/domain/leadership.cpp
@@ -38,6 +38,15 @@
 // the last that was seen.
 constexpr int takeover_round_trips = 3;
 
+// A VM with this many times the processor share of the leader takes over from
+// it: a leader that falls behind serves all callers late.
+constexpr double much_larger = 2;
+
+// A new leader is left alone this long, and a VM whose way to the store takes
+// longer does not challenge it: a takeover costs a second of scheduling.
+constexpr milliseconds challenge_after{2000};
+constexpr milliseconds longest_challenge_round_trip{150};
+
 constexpr backoff_settings retry_delays{milliseconds(50), milliseconds(500)};
 
 struct leader_row
@@ -47,6 +56,8 @@
     std::uint64_t epoch = 0;
     // The leader has given up; the next may take over at once.
     bool resigned = false;
+    // Share of a core that the leader has.
+    double processor_share = 0;
 };
 
 std::string to_text(const leader_row& row)
@@ -56,6 +67,7 @@
     json["incarnation"] = static_cast<Json::UInt64>(row.incarnation);
     json["epoch"] = static_cast<Json::UInt64>(row.epoch);
     json["resigned"] = row.resigned;
+    json["processor_share"] = row.processor_share;
     return json_text(json);
 }
 
@@ -72,7 +84,8 @@
         .read("vm", row.vm)
         .read("incarnation", row.incarnation)
         .read("epoch", row.epoch)
-        .read("resigned", row.resigned);
+        .read("resigned", row.resigned)
+        .read("processor_share", row.processor_share);
     return why ? std::nullopt : std::optional(row);
 }
 
@@ -89,6 +102,7 @@
     void look();
     void on_row(const table_read_reply& reply, time_point sent);
     bool may_stand(const table_row& row, const leader_row& seen);
+    bool may_challenge(const leader_row& seen);
     void stand(const table_row& row, std::uint64_t last_epoch);
     void on_election(const table_transact_reply& reply,
                      std::uint64_t wanted,
@@ -114,6 +128,9 @@
     // The same on the clock that counts suspension.
     boot_time version_seen{};
     std::optional<boot_time> earlier_confirmed;
+    // Epoch of the leader that was seen last, and since when.
+    std::uint64_t seen_epoch = 0;
+    time_point seen_epoch_since{};
     milliseconds round_trip{0};
     std::optional<boot_time> confirmed;
     time_point renew_at{};
@@ -124,7 +141,11 @@
 {
     return {
         leader_key,
-        to_text({settings.vm, settings.incarnation, wanted, gives_up}),
+        to_text({settings.vm,
+                 settings.incarnation,
+                 wanted,
+                 gives_up,
+                 settings.processor_share}),
     };
 }
 
@@ -173,7 +194,7 @@
                  {{"version", std::to_string(row.version)}});
     }
     const auto current = seen.value_or(leader_row{});
-    if (may_stand(row, current))
+    if (may_stand(row, current) || may_challenge(current))
     {
         // An unreadable row must not make epochs fall: versions rise faster.
         stand(row, seen ? current.epoch : row.version);
@@ -200,6 +221,31 @@
                                             stand_back;
 }
 
+bool leadership::state::may_challenge(const leader_row& seen)
+{
+    const auto now = hooks.now();
+    if (seen.epoch != seen_epoch)
+    {
+        seen_epoch = seen.epoch;
+        seen_epoch_since = now;
+    }
+    const bool much_smaller =
+        seen.processor_share > 0 &&
+        settings.processor_share >= much_larger * seen.processor_share;
+    if (!much_smaller || now - seen_epoch_since < challenge_after ||
+        round_trip > longest_challenge_round_trip)
+    {
+        return false;
+    }
+    log_line(log_level::info,
+             "leader",
+             "This VM challenges a leader with a smaller processor share.",
+             {{"leader", seen.vm},
+              {"epoch", std::to_string(seen.epoch)},
+              {"share", std::to_string(seen.processor_share)}});
+    return true;
+}
+
 void leadership::state::stand(const table_row& row, std::uint64_t last_epoch)
 {
     in_flight = true;
--- a/tests/domain_scheduler_test.cpp
+++ b/tests/domain_scheduler_test.cpp
@@ -275,6 +275,32 @@
     check_no_violation();
 }
 
+// Guards against a leader with a small share of a core that keeps the
+// leadership while larger VMs live: it falls behind with hundreds of servers.
+// Seen on ongtm-sched-grown, day trouble-2.
+TEST(domain_scheduler, a_larger_vm_takes_over_from_a_small_leader)
+{
+    servers(2);
+    for (auto& vm : world.vms)
+    {
+        vm->kill();
+    }
+    world.vms[0]->processor_share = 0.12;
+    world.vms[1]->processor_share = 0.5;
+    world.vms[0]->start();
+    CHECK(world.run_until(milliseconds(5000),
+                          [this] { return world.vms[0]->leads(); }));
+    world.vms[1]->start();
+    world.run(milliseconds(1000));
+    CHECK(world.vms[0]->leads());
+    world.submit(0, job_id(1), "q1", one_step(4, 4));
+    CHECK(world.run_until(milliseconds(5000),
+                          [this] { return world.vms[1]->leads(); }));
+    CHECK(completes(job_id(1), milliseconds(8000)));
+    CHECK_EQUAL(4, world.starts);
+    check_no_violation();
+}
+
 // Guards against a cancelled job of which tasks run on.
 TEST(domain_scheduler, a_cancelled_job_stops)
 {
--- a/tests/domain_world.cpp
+++ b/tests/domain_world.cpp
@@ -312,7 +312,7 @@
         schedule.reset();
     };
     leader = std::make_unique<leadership>(
-        leadership_settings{name, world.random()}, lead);
+        leadership_settings{name, world.random(), processor_share}, lead);
 }
 
 void fake_vm::start_intake()
@@ -454,65 +454,6 @@
     action();
 }
 
-table_follow_reply changes_after(const domain_world& world,
-                                 const std::string& prefix,
-                                 std::uint64_t after)
-{
-    table_follow_reply reply;
-    reply.version = world.version;
-    if (after < world.oldest_history)
-    {
-        reply.error = {result_code::not_found, "history is gone"};
-        return reply;
-    }
-    for (const auto& change : world.history)
-    {
-        if (change.row.version > after && change.row.key.starts_with(prefix))
-        {
-            reply.changes.push_back(change);
-        }
-    }
-    return reply;
-}
-
-table_transact_reply apply(domain_world& world, const table_transaction& change)
-{
-    table_transact_reply reply;
-    for (const auto& check : change.checks)
-    {
-        const auto found = world.stored.find(check.key);
-        const auto version =
-            found == world.stored.end() ? 0 : found->second.version;
-        if (version != check.version)
-        {
-            reply.error = {result_code::conflict, "another version"};
-        }
-        if (found != world.stored.end())
-        {
-            reply.found.push_back(found->second);
-        }
-    }
-    if (reply.error)
-    {
-        return reply;
-    }
-    reply.version = ++world.version;
-    for (const auto& put : change.puts)
-    {
-        const table_row row{put.key, put.value, world.version};
-        world.stored[put.key] = row;
-        world.history.push_back({row, false});
-    }
-    for (const auto& key : change.removals)
-    {
-        if (world.stored.erase(key) > 0)
-        {
-            world.history.push_back({{key, "", world.version}, true});
-        }
-    }
-    return reply;
-}
-
 // Calls of a VM with the reply of a failed one.
 template <class Reply, class Handle>
 void call_store(fake_vm& vm,
@@ -605,7 +546,7 @@
                      call_store<table_transact_reply>(
                          *this,
                          deadline,
-                         [this, change] { return apply(world, change); },
+                         [this, change] { return world.apply(change); },
                          done);
                  });
     };
@@ -617,7 +558,7 @@
     {
         // The wait is played as a pause before the call is handled.
         const auto changed =
-            !changes_after(world, prefix, after).changes.empty();
+            !world.changes_after(prefix, after).changes.empty();
         world.at(world.now + (changed ? 0 : wait.count() / 10),
                  [this, prefix, after, deadline, life = lives, done]
                  {
@@ -629,7 +570,7 @@
                          *this,
                          deadline,
                          [this, prefix, after]
-                         { return changes_after(world, prefix, after); },
+                         { return world.changes_after(prefix, after); },
                          done);
                  });
     };
@@ -766,14 +707,71 @@
     put_config();
 }
 
+table_follow_reply domain_world::changes_after(const std::string& prefix,
+                                               std::uint64_t after) const
+{
+    table_follow_reply reply;
+    reply.version = version;
+    if (after < oldest_history)
+    {
+        reply.error = {result_code::not_found, "history is gone"};
+        return reply;
+    }
+    for (const auto& change : history)
+    {
+        if (change.row.version > after && change.row.key.starts_with(prefix))
+        {
+            reply.changes.push_back(change);
+        }
+    }
+    return reply;
+}
+
+table_transact_reply domain_world::apply(const table_transaction& change)
+{
+    table_transact_reply reply;
+    for (const auto& check : change.checks)
+    {
+        const auto found = stored.find(check.key);
+        const auto present = found == stored.end() ? 0 : found->second.version;
+        if (present != check.version)
+        {
+            reply.error = {result_code::conflict, "another version"};
+        }
+        if (found != stored.end())
+        {
+            reply.found.push_back(found->second);
+        }
+    }
+    if (reply.error)
+    {
+        return reply;
+    }
+    reply.version = ++version;
+    for (const auto& put : change.puts)
+    {
+        const table_row row{put.key, put.value, version};
+        stored[put.key] = row;
+        history.push_back({row, false});
+    }
+    for (const auto& key : change.removals)
+    {
+        if (stored.erase(key) > 0)
+        {
+            history.push_back({{key, "", version}, true});
+        }
+    }
+    return reply;
+}
+
 void domain_world::write(const std::string& key, const std::string& value)
 {
-    apply(*this, {{}, {{key, value}}, {}});
+    apply({{}, {{key, value}}, {}});
 }
 
 void domain_world::remove(const std::string& key)
 {
-    apply(*this, {{}, {}, {key}});
+    apply({{}, {}, {key}});
 }
 
 void domain_world::put_config()
@@ -917,6 +915,7 @@
 void domain_world::on_start(const fake_server& server, const run_id& run)
 {
     ++starts;
+    started_jobs.insert(run.task.job);
     if (noted_done.contains(run.task))
     {
         wrong.push_back(text_of(run.task) + " started after it was done");
--- a/tests/domain_world.hpp
+++ b/tests/domain_world.hpp
@@ -111,6 +111,8 @@
     link_faults store_link;
     link_faults server_link;
     std::uint64_t lives = 0;
+    // From the next start on.
+    double processor_share = 1;
 
     deployment_rows rows;
     std::unique_ptr<deployment_view> orders;
@@ -158,6 +160,7 @@
     // Runs that ended well and were taken note of, by task.
     std::set<task_name> noted_done;
     int starts = 0;
+    std::set<std::string> started_jobs;
 
     void run(milliseconds time);
     // Runs until the condition holds; false if it does not in time.
@@ -167,6 +170,9 @@
                     const std::string& rack = "r1",
                     const std::string& zone = "zone-a");
     void put_config();
+    table_transact_reply apply(const table_transaction& change);
+    table_follow_reply changes_after(const std::string& prefix,
+                                     std::uint64_t after) const;
     void write(const std::string& key, const std::string& value);
     void remove(const std::string& key);
     void put_server(const fake_server& server);
--- /dev/null
+++ b/tests/soak/vm_process.hpp
@@ -0,0 +1,80 @@
+// One entry VM of the product as a process of its own.
+#ifndef POPLARRAMP_SOAK_VM_PROCESS_HPP
+#define POPLARRAMP_SOAK_VM_PROCESS_HPP
+
+#include "soak/proxy.hpp"
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace poplarramp::soak
+{
+
+struct vm_ports
+{
+    std::uint16_t callers = 0;
+    std::uint16_t ready = 0;
+    std::uint16_t metrics = 0;
+};
+
+// Not thread safe. Ends the process when it is destroyed.
+class vm_process
+{
+public:
+    // `folder` receives the settings and the output of the process.
+    vm_process(std::string program,
+               std::string name,
+               std::string folder,
+               vm_ports ports,
+               std::unique_ptr<proxy> store_link);
+    ~vm_process();
+    vm_process(const vm_process&) = delete;
+    vm_process& operator=(const vm_process&) = delete;
+
+    // Throws std::system_error if the process cannot be started.
+    void start();
+    void signal(int number);
+
+    // Notices that the process has ended. To be called now and then.
+    void reap();
+    bool running() const
+    {
+        return pid_ > 0;
+    }
+    // Exit status of the last process that ended by itself or on SIGTERM.
+    int last_status() const
+    {
+        return last_status_;
+    }
+
+    const std::string& name() const
+    {
+        return name_;
+    }
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(ports_.callers);
+    }
+    proxy& store_link()
+    {
+        return *store_link_;
+    }
+
+private:
+    void write_settings() const;
+
+    const std::string program_;
+    const std::string name_;
+    const std::string folder_;
+    const vm_ports ports_;
+    std::unique_ptr<proxy> store_link_;
+    pid_t pid_ = 0;
+    int last_status_ = 0;
+};
+
+} // namespace poplarramp::soak
+
+#endif
