--- a/tests/domain_scheduler_test.cpp
+++ b/tests/domain_scheduler_test.cpp
@@ -363,6 +363,69 @@
     CHECK(!vm.calls->pending(*call, why));
 }
 
+// Guards against a VM that goes on with a key that may have been taken away:
+// without the store it cannot know. The bound is revoke_ms, 5 s; until shortly
+// before it the VM serves.
+TEST(domain_scheduler, a_vm_without_the_store_refuses_keys_in_time)
+{
+    elect();
+    auto& vm = *world.vms[1];
+    vm.store_link.cut = true;
+    world.run(milliseconds(4000));
+    failure why;
+    CHECK(vm.calls->admit("host", "/q1/", "bead-key", why).has_value());
+    world.run(milliseconds(1000));
+    CHECK(!vm.calls->admit("host", "/q1/", "bead-key", why));
+    CHECK(why.code == result_code::store_unavailable);
+    vm.store_link.cut = false;
+    world.run(milliseconds(1500));
+    CHECK(vm.calls->admit("host", "/q1/", "bead-key", why).has_value());
+}
+
+// Guards against a key or a queue that stays in force after the operator has
+// taken it away, on any VM. The bound is config_apply_ms, 3 s.
+TEST(domain_scheduler, a_new_configuration_is_in_force_on_every_vm)
+{
+    elect();
+    ++world.config.version;
+    world.config.customers[0].keys = {"new-key"};
+    world.config.queues.erase(world.config.queues.begin());
+    world.put_config();
+    world.run(milliseconds(3000));
+    for (const auto& vm : world.vms)
+    {
+        failure why;
+        CHECK(!vm->calls->admit("host", "/q1/", "bead-key", why));
+        CHECK(why.code == result_code::unauthorized);
+        CHECK(vm->calls->admit("host", "/q1/", "new-key", why).has_value());
+        CHECK(!vm->calls->admit("host", "/q0/", "new-key", why));
+        CHECK(why.code == result_code::unknown_kind);
+    }
+}
+
+// Guards against a VM that goes back to an older configuration: a change that
+// arrives late, or a copy that is read anew, may hold one.
+TEST(domain_scheduler, an_older_configuration_changes_nothing)
+{
+    world.config.version = 7;
+    world.put_config();
+    elect();
+    const auto keys = world.config.customers[0].keys;
+    world.config.version = 5;
+    world.config.customers[0].keys = {"old-key"};
+    world.put_config();
+    world.run(milliseconds(1000));
+    world.oldest_history = world.version;
+    world.run(milliseconds(2000));
+    for (const auto& vm : world.vms)
+    {
+        failure why;
+        CHECK_EQUAL(7U, vm->orders->version());
+        CHECK(vm->calls->admit("host", "/q1/", keys[0], why).has_value());
+        CHECK(!vm->calls->admit("host", "/q1/", "old-key", why));
+    }
+}
+
 // Guards against a start in a zone after operators have taken it out.
 TEST(domain_scheduler, an_evacuated_zone_gets_no_start)
 {
--- a/tests/soak/play.cpp
+++ b/tests/soak/play.cpp
@@ -41,6 +41,9 @@
 // A planned stop has ended then (grace_s, and a second).
 constexpr std::int64_t planned_stop_ms = 7000;
 
+// A run whose job has ended is gone after cancel_ms and stop_timeout_ms.
+constexpr std::int64_t last_stop_ms = 3200;
+
 constexpr milliseconds call_limit{3000};
 
 // A port on which nothing listens, below those that the system gives to
@@ -522,9 +525,12 @@
     {
         if (all_ended() || site_.world().now >= until)
         {
-            check_end();
-            stop_all();
-            *look = nullptr;
+            at(last_stop_ms,
+               [this]
+               {
+                   check_end();
+                   stop_all();
+               });
             return;
         }
         at(100, [look] { (*look)(); });
