Refuse at once while the store does not answer; split the orders off

Change: after a write without an answer, and until a later call is answered, new jobs are refused at once as not run. What was sent is still followed up.

Test, red without the change: domain_scheduler, a_vm_that_the_store_does_not_answer_refuses_at_once.

--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -174,7 +174,7 @@
     void on_committed(const snapshot& held);
     void on_not_committed(const snapshot& held);
 
-    // Servers and orders (dispatcher_servers.cpp).
+    // Contact with servers (dispatcher_servers.cpp).
     void tend_servers();
     void hold(const std::string& id, server_record& server);
     void on_hold(const std::string& id,
@@ -199,7 +199,17 @@
                          const hold_reply& reply);
     std::optional<server_clock> lease_for(const server_record& server) const;
     server_target target_of(const server_record& server) const;
+    void note_absence(const std::string& id, server_record& server);
+    void give_up_lost(const std::string& id, server_record& server);
+    std::string server_of(const run_id& run) const;
+    server_run* find_run(const std::string& server, const run_id& run);
+
+    // Orders (dispatcher_orders.cpp).
     bool may_start_on(const server_record& server) const;
+    server_run* answered_run(const std::string& id,
+                             std::int64_t born,
+                             const run_id& run,
+                             const order_reply& reply);
     void
     start_placed(const std::vector<std::pair<std::string, run_id>>& placed);
     void send_start(const std::string& id, const run_id& run);
@@ -221,10 +231,6 @@
                  std::int64_t born,
                  const run_id& run,
                  const order_reply& reply);
-    void note_absence(const std::string& id, server_record& server);
-    void give_up_lost(const std::string& id, server_record& server);
-    std::string server_of(const run_id& run) const;
-    server_run* find_run(const std::string& server, const run_id& run);
 
     // Placement (dispatcher_plan.cpp).
     void plan();
--- a/src/domain/intake.cpp
+++ b/src/domain/intake.cpp
@@ -34,6 +34,8 @@
 {
     table_put row;
     time_point deadline{};
+    // When the newest attempt was sent.
+    boot_time sent{};
     // An attempt was sent whose outcome is not known.
     bool unresolved = false;
     // Called with `ok`, `conflict` if another row exists, `store_unavailable`
@@ -64,6 +66,16 @@
            hooks_.boot_now() - *confirmed <= settings_.oldest_when_ready;
 }
 
+bool intake::store_silent() const
+{
+    const auto later = [this](std::optional<boot_time> confirmed)
+    {
+        return confirmed && *confirmed > *unanswered_;
+    };
+    return unanswered_ && !later(hooks_.orders_confirmed()) &&
+           !later(hooks_.jobs_confirmed());
+}
+
 bool intake::ready() const
 {
     return orders_younger_than(settings_.oldest_when_ready) && jobs_recent();
@@ -155,6 +167,7 @@
     change.puts.push_back(call->row);
     const auto limit =
         std::min(call->deadline - answer_margin, hooks_.now() + write_limit);
+    call->sent = hooks_.boot_now();
     hooks_.store.transact(std::move(change),
                           limit,
                           [this, call](const table_transact_reply& reply)
@@ -165,6 +178,16 @@
                         const table_transact_reply& reply)
 {
     const auto code = reply.error.code;
+    const bool unanswered =
+        code == result_code::timeout || code == result_code::answer_lost;
+    if (!unanswered)
+    {
+        unanswered_.reset();
+    }
+    else if (!unanswered_ || *unanswered_ < call->sent)
+    {
+        unanswered_ = call->sent;
+    }
     if (code == result_code::ok)
     {
         hooks_.on_row({{call->row.key, call->row.value, reply.version}, false});
@@ -223,6 +246,14 @@
                  known->shown_state()});
         return;
     }
+    if (store_silent())
+    {
+        // Another VM may have a way to the store: the caller asks it sooner.
+        respond({{result_code::store_unavailable,
+                  "the store does not answer; the job was not handed in"},
+                 step_job_state::queued});
+        return;
+    }
     step_job job;
     job.id = id;
     job.customer = call.customer;
--- a/src/domain/intake.hpp
+++ b/src/domain/intake.hpp
@@ -82,6 +82,7 @@
                                        const std::string& key,
                                        failure& why) const;
 
+    // Refused at once while the store does not answer.
     void submit(const admitted_call& call,
                 const std::string& id,
                 step_job_spec spec,
@@ -112,6 +113,8 @@
 
     bool orders_younger_than(milliseconds age) const;
     bool jobs_recent() const;
+    // The last write got no answer, and no later call did.
+    bool store_silent() const;
     bool owns(const admitted_call& call, const known_job& known) const;
     void find(const std::string& id,
               time_point deadline,
@@ -127,6 +130,8 @@
     const intake_hooks hooks_;
     const deployment_view& orders_;
     const job_directory& jobs_;
+    // When the newest write without an answer was sent.
+    std::optional<boot_time> unanswered_;
     // Writes whose last attempt has no known outcome, by the time of the next.
     std::multimap<time_point, std::shared_ptr<write_call>> repeats_;
 };
--- a/tests/domain_scheduler_test.cpp
+++ b/tests/domain_scheduler_test.cpp
@@ -382,6 +382,30 @@
     CHECK(vm.calls->admit("host", "/q1/", "bead-key", why).has_value());
 }
 
+// Guards against callers that wait until their time limit at a VM that the
+// store does not answer, while other VMs could take their job.
+TEST(domain_scheduler, a_vm_that_the_store_does_not_answer_refuses_at_once)
+{
+    elect();
+    auto& vm = *world.vms[1];
+    vm.store_link.cut = true;
+    world.submit(1, job_id(1), "q1", one_step(1, 1));
+    world.run(milliseconds(1200));
+    std::optional<result_code> answered;
+    const auto note = [&answered](const job_answer& answer)
+    {
+        answered = answer.error.code;
+    };
+    world.submit(1, job_id(2), "q1", one_step(1, 1), note);
+    CHECK(answered == result_code::store_unavailable);
+    vm.store_link.cut = false;
+    world.run(milliseconds(2500));
+    answered.reset();
+    world.submit(1, job_id(2), "q1", one_step(1, 1), note);
+    world.run(milliseconds(100));
+    CHECK(answered == result_code::ok);
+}
+
 // Guards against a key or a queue that stays in force after the operator has
 // taken it away, on any VM. The bound is config_apply_ms, 3 s.
 TEST(domain_scheduler, a_new_configuration_is_in_force_on_every_vm)
