--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -252,6 +252,11 @@
     void place(const waiting_step& item,
                const placement_result& result,
                std::vector<candidate_server>& servers);
+    // Marks the emptiest server of each rack as kept for urgent jobs.
+    void keep_headroom(std::vector<candidate_server>& servers) const;
+    double share_in_use() const;
+
+    // Room that is kept for steps (dispatcher_claims.cpp).
     void make_room(const waiting_step& item,
                    std::vector<candidate_server>& servers);
     bool open_claim(const waiting_step& item,
@@ -271,9 +276,6 @@
     void withhold_claims(const waiting_step& item,
                          std::vector<candidate_server>& servers,
                          bool give_back) const;
-    // Marks the emptiest server of each rack as kept for urgent jobs.
-    void keep_headroom(std::vector<candidate_server>& servers) const;
-    double share_in_use() const;
 
     const dispatcher_settings settings_;
     const dispatcher_hooks hooks_;
