Take the progress of a run for the work that a stop would lose

After a takeover the books hold the time of the takeover as the start of each run that was found, so a new leader takes old runs for young: at 42.75 s it stopped 48 runs for one job of priority 1 with an estimate of 3,061 core-seconds, 6.7 s after its election.

Change: the work lost is the greater of the time since the known start and the progress that the server lists, times the estimate.

Test, red without the change: domain_scheduler, a_new_leader_knows_how_much_work_a_stop_loses.

--- a/src/domain/dispatcher_claims.cpp
+++ b/src/domain/dispatcher_claims.cpp
@@ -34,6 +34,7 @@
 constexpr double checkpoint_loss_s = 0.6;
 
 constexpr double ms_per_s = 1000;
+constexpr double whole_percent = 100;
 
 // The candidates are in the order of their ids.
 template <class Servers>
@@ -82,15 +83,20 @@
 
 double dispatcher::lost_work(const run_id& run, const server_run& held) const
 {
+    if (held.life.phase == run_phase::placing)
+    {
+        return 0;
+    }
     const auto& job = open_.at(run.task.job);
     const auto& spec = job.spec_of(run.task.step);
+    // A new leader does not know when a run has started, but how far it is.
     const auto elapsed =
         static_cast<double>((hooks_.now() - held.started_at).count()) /
         ms_per_s;
-    const bool has_started = held.life.phase != run_phase::placing;
-    const double seconds = !has_started       ? 0
-                           : spec.checkpoints ? checkpoint_loss_s
-                                              : elapsed;
+    const auto worked = static_cast<double>(spec.estimate.count()) / ms_per_s *
+                        held.percent / whole_percent;
+    const double seconds =
+        spec.checkpoints ? checkpoint_loss_s : std::max(elapsed, worked);
     const auto members = spec.gang ? job.members(run).size() : 1;
     return seconds * spec.need.core_weight() * static_cast<double>(members);
 }
--- a/tests/domain_scheduler_test.cpp
+++ b/tests/domain_scheduler_test.cpp
@@ -44,6 +44,20 @@
         world.run(milliseconds(500));
     }
 
+    void set_task_time(milliseconds time)
+    {
+        for (auto& [id, server] : world.servers)
+        {
+            server.task_time = time;
+        }
+    }
+
+    bool starts(int count, milliseconds time = milliseconds(3000))
+    {
+        return world.run_until(time,
+                               [this, count] { return world.starts == count; });
+    }
+
     bool completes(const std::string& id, milliseconds time)
     {
         return world.run_until(
@@ -102,13 +116,9 @@
 {
     servers(2);
     elect();
-    for (auto& [id, server] : world.servers)
-    {
-        server.task_time = milliseconds(60000);
-    }
+    set_task_time(milliseconds(60000));
     world.submit(0, job_id(1), "q1", one_step(2, 8));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 2; }));
+    CHECK(starts(2));
     auto* old = world.leader();
     auto* next = world.vms[old == world.vms[0].get() ? 1 : 0].get();
     next->server_link.cut = true;
@@ -127,8 +137,7 @@
     servers(2);
     elect();
     world.submit(0, job_id(1), "q1", one_step(4, 4));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 4; }));
+    CHECK(starts(4));
     // The tasks end while the leader cannot write.
     world.leader()->store_link.cut = true;
     CHECK(completes(job_id(1), milliseconds(20000)));
@@ -182,13 +191,9 @@
 {
     servers(2);
     elect();
-    for (auto& [id, server] : world.servers)
-    {
-        server.task_time = milliseconds(9000);
-    }
+    set_task_time(milliseconds(9000));
     world.submit(0, job_id(1), "q1", one_step(2, 8));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 2; }));
+    CHECK(starts(2));
     world.store_down = true;
     world.run(milliseconds(8500));
     world.store_down = false;
@@ -204,19 +209,16 @@
     servers(2);
     elect();
     world.submit(0, job_id(1), "q2", one_step(2, 8));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 2; }));
+    CHECK(starts(2));
     world.servers.at("s0").cut = true;
     world.servers.at("s1").task_time = milliseconds(60000);
     // The task on s0 is done, but that is not known; it starts again on s1.
-    CHECK(world.run_until(milliseconds(15000),
-                          [this] { return world.starts == 3; }));
+    CHECK(starts(3, milliseconds(15000)));
     world.servers.at("s0").cut = false;
     world.run(milliseconds(100));
     world.submit(0, job_id(2), "q0", one_step(2, 8, true));
     CHECK(completes(job_id(1), milliseconds(3000)));
-    CHECK(world.run_until(milliseconds(5000),
-                          [this] { return world.starts == 5; }));
+    CHECK(starts(5, milliseconds(5000)));
 }
 
 // Guards against a job that waits out the leases of the last leader for a
@@ -228,8 +230,7 @@
     elect();
     world.servers.at("s0").task_time = milliseconds(60000);
     world.submit(0, job_id(1), "q1", one_step(2, 8));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 2; }));
+    CHECK(starts(2));
     for (auto& vm : world.vms)
     {
         vm->kill();
@@ -241,8 +242,7 @@
     {
         vm->start();
     }
-    CHECK(world.run_until(milliseconds(12000),
-                          [this] { return world.starts == 3; }));
+    CHECK(starts(3, milliseconds(12000)));
     check_no_violation();
 }
 
@@ -253,13 +253,9 @@
 {
     servers(3);
     elect();
-    for (auto& [id, server] : world.servers)
-    {
-        server.task_time = milliseconds(9800);
-    }
+    set_task_time(milliseconds(9800));
     world.submit(0, job_id(1), "q1", one_step(3, 8));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 3; }));
+    CHECK(starts(3));
     auto& old = *world.leader();
     auto& server = world.servers.at("s0");
     server.only_vm = &old;
@@ -282,13 +278,9 @@
 {
     servers(2);
     elect();
-    for (auto& [id, server] : world.servers)
-    {
-        server.task_time = milliseconds(9000);
-    }
+    set_task_time(milliseconds(9000));
     world.submit(0, job_id(1), "q1", one_step(2, 8));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 2; }));
+    CHECK(starts(2));
     world.store_down = true;
     world.vms[0]->server_link.cut = true;
     world.vms[1]->server_link.cut = true;
@@ -336,13 +328,9 @@
 {
     servers(2);
     elect();
-    for (auto& [id, server] : world.servers)
-    {
-        server.task_time = milliseconds(60000);
-    }
+    set_task_time(milliseconds(60000));
     world.submit(0, job_id(1), "q1", one_step(4, 4));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 4; }));
+    CHECK(starts(4));
     world.cancel(1, job_id(1), "q1");
     world.run(milliseconds(3000));
     for (const auto& [id, server] : world.servers)
@@ -361,8 +349,7 @@
     elect();
     world.servers.at("s0").task_time = milliseconds(60000);
     world.submit(0, job_id(1), "q1", one_step(2, 4));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 2; }));
+    CHECK(starts(2));
     // The stops do not arrive before the leader is lost.
     world.leader()->server_link.cut = true;
     world.cancel(0, job_id(1), "q1");
@@ -371,8 +358,7 @@
     const int other = world.leader() == world.vms[0].get() ? 1 : 0;
     world.leader()->kill();
     world.submit(other, job_id(2), "q1", one_step(1, 8));
-    CHECK(world.run_until(milliseconds(10000),
-                          [this] { return world.starts == 3; }));
+    CHECK(starts(3, milliseconds(10000)));
     check_no_violation();
 }
 
@@ -382,19 +368,36 @@
 {
     servers(2);
     elect();
-    for (auto& [id, server] : world.servers)
-    {
-        server.task_time = milliseconds(60000);
-    }
+    set_task_time(milliseconds(60000));
     world.submit(0, job_id(1), "q2", one_step(16, 1));
-    CHECK(world.run_until(milliseconds(3000),
-                          [this] { return world.starts == 16; }));
+    CHECK(starts(16));
     world.submit(0, job_id(2), "q0", one_step(2, 8, true));
-    CHECK(world.run_until(milliseconds(2500),
-                          [this] { return world.starts == 18; }));
+    CHECK(starts(18, milliseconds(2500)));
     check_no_violation();
 }
 
+// Guards against a new leader that takes the runs it found for young, and
+// throws much more work away for an urgent job than the job is worth. Seen in
+// inc-b868.
+TEST(domain_scheduler, a_new_leader_knows_how_much_work_a_stop_loses)
+{
+    servers(3);
+    elect();
+    set_task_time(milliseconds(60000));
+    auto spec = one_step(3, 8);
+    spec.steps[0].estimate = milliseconds(60000);
+    world.submit(0, job_id(1), "q2", spec);
+    CHECK(starts(3));
+    world.run(milliseconds(20000));
+    const int other = world.leader() == world.vms[0].get() ? 1 : 0;
+    world.leader()->kill();
+    world.run(milliseconds(2500));
+    // Beyond the guarantee, and a tenth of the work that is in its way.
+    world.submit(other, job_id(2), "q0", one_step(3, 8, true));
+    world.run(milliseconds(2000));
+    CHECK_EQUAL(3, world.starts);
+}
+
 // Guards against a VM that has just started, or lost the store, and says that
 // no job waits. Seen on grown/umkhonto-ramp, hunt-f82c-7.
 TEST(domain_scheduler, a_count_of_waiting_jobs_is_recent)
--- a/tests/domain_world.cpp
+++ b/tests/domain_world.cpp
@@ -201,7 +201,10 @@
                   { return item.number <= order.ends_seen; });
     for (const auto& [run, item] : active)
     {
-        reply.active.push_back({run, "", 0});
+        const auto percent =
+            (world.now - item.started_at) * 100 / task_time.count();
+        reply.active.push_back(
+            {run, "", static_cast<int>(std::min<std::int64_t>(percent, 99))});
     }
     for (const auto& item : ended)
     {
