--- a/tests/domain_world.cpp
+++ b/tests/domain_world.cpp
@@ -77,8 +77,12 @@
     }
     const auto now = world.now;
     std::vector<std::pair<run_id, run_end>> ends;
-    for (const auto& [run, item] : active)
+    for (auto& [run, item] : active)
     {
+        const auto percent = (now - item.started_at) * 100 / task_time.count();
+        item.percent =
+            hangs ? item.percent
+                  : static_cast<int>(std::min<std::int64_t>(percent, 99));
         const bool finished = !hangs && now >= item.ends_at;
         const auto how = clock(now) > lease_until ? run_end::lapsed
                          : item.stops_at          ? run_end::stopped
@@ -143,7 +147,8 @@
                          world.now + task_time.count(),
                          world.now,
                          order.checkpoint,
-                         std::nullopt};
+                         std::nullopt,
+                         0};
     world.check_capacity(*this);
     return reply;
 }
@@ -201,10 +206,7 @@
                   { return item.number <= order.ends_seen; });
     for (const auto& [run, item] : active)
     {
-        const auto percent =
-            (world.now - item.started_at) * 100 / task_time.count();
-        reply.active.push_back(
-            {run, "", static_cast<int>(std::min<std::int64_t>(percent, 99))});
+        reply.active.push_back({run, "", item.percent});
     }
     for (const auto& item : ended)
     {
