--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -183,10 +183,6 @@
                     server_record& server,
                     time_point asked,
                     const hold_reply& reply);
-    void note_progress(const std::string& id,
-                       server_record& server,
-                       const listed_run& listed,
-                       server_run& run);
     void on_listed(const std::string& id,
                    server_record& server,
                    const listed_run& listed);
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -156,9 +156,8 @@
         const bool usable =
             server.registered && server.adopted && !entry.draining &&
             server.contact && now - *server.contact < placing_contact &&
-            now >= server.closed_until &&
-            (!server.stalled || now - *server.stalled > stall_pause) &&
-            !orders_.evacuated(entry.zone) && orders_.runs(entry.service);
+            now >= server.closed_until && !orders_.evacuated(entry.zone) &&
+            orders_.runs(entry.service);
         if (!usable)
         {
             continue;
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -27,13 +27,6 @@
 // Beyond the wait; replies cross regions in 60 ms.
 constexpr milliseconds hold_limit{1000};
 
-// A run stands still if its progress does not change for this long, or for this
-// part of its estimate: estimates are off by a factor of two, and the progress
-// is listed in hundredths.
-constexpr milliseconds least_stall{1200};
-constexpr int stalls_in_estimate = 10;
-constexpr int whole_percent = 100;
-
 // A server lists this many ends in one reply; there may be more.
 constexpr std::size_t ends_in_reply = 500;
 
@@ -229,48 +222,6 @@
     }
 }
 
-// A task that has begun and is not done makes progress on a sound server.
-void dispatcher::note_progress(const std::string& id,
-                               server_record& server,
-                               const listed_run& listed,
-                               server_run& run)
-{
-    const auto now = hooks_.now();
-    const bool moves = run.percent != listed.percent || listed.percent == 0 ||
-                       listed.percent >= whole_percent;
-    run.percent = listed.percent;
-    if (moves || run.progress_at == time_point{})
-    {
-        run.progress_at = now;
-        return;
-    }
-    const auto job = open_.find(listed.run.task.job);
-    if (job == open_.end() || job->second.task(listed.run.task) == nullptr)
-    {
-        return;
-    }
-    const auto& spec = job->second.spec_of(listed.run.task.step);
-    const auto patience =
-        std::max(least_stall, spec.estimate / stalls_in_estimate);
-    if (spec.long_running || now - run.progress_at < patience)
-    {
-        return;
-    }
-    if (!server.stalled || now - *server.stalled > stall_pause)
-    {
-        log_line(
-            log_level::warning,
-            "server",
-            "A run stands still; its server is avoided.",
-            {{"server", id},
-             {"job", listed.run.task.job},
-             {"task", text_of(listed.run.task)},
-             {"percent", std::to_string(listed.percent)},
-             {"still_ms", std::to_string((now - run.progress_at).count())}});
-    }
-    server.stalled = now;
-}
-
 void dispatcher::on_listed(const std::string& id,
                            server_record& server,
                            const listed_run& listed)
@@ -281,7 +232,7 @@
     {
         auto& run = found->second;
         run.life.on_listed(now);
-        note_progress(id, server, listed, run);
+        run.percent = listed.percent;
         if (!listed.checkpoint.empty() && listed.checkpoint != run.checkpoint)
         {
             run.checkpoint = listed.checkpoint;
--- a/src/domain/server_book.hpp
+++ b/src/domain/server_book.hpp
@@ -20,10 +20,6 @@
 // An order may be carried out this long after it was sent.
 constexpr milliseconds latest_order{13000};
 
-// A server is avoided this long after a run was seen to stand still: servers
-// with runs are asked every 0.8 s.
-constexpr milliseconds stall_pause{1500};
-
 // A run that takes up resources of a server.
 struct server_run
 {
@@ -39,8 +35,6 @@
     time_point started_at{};
     std::string checkpoint;
     int percent = 0;
-    // When the progress last changed.
-    time_point progress_at{};
     // The scheduler has no record of this run.
     bool stray = false;
 };
@@ -66,8 +60,6 @@
     // Failed runs since the last that ended well.
     int failures = 0;
     time_point last_failure{};
-    // When a run was last seen to stand still.
-    std::optional<time_point> stalled;
 
     resources free() const;
 };
--- a/tests/domain_scheduler_test.cpp
+++ b/tests/domain_scheduler_test.cpp
@@ -398,33 +398,6 @@
     CHECK_EQUAL(3, world.starts);
 }
 
-// Guards against an urgent job on a server on which tasks stand still, while
-// others work.
-TEST(domain_scheduler, a_server_on_which_tasks_stand_still_is_avoided)
-{
-    servers(2);
-    elect();
-    set_task_time(milliseconds(10000));
-    world.submit(0, job_id(1), "q1", one_step(1, 4));
-    CHECK(starts(1));
-    auto& first = world.servers.at("s0").active.empty()
-                      ? world.servers.at("s1")
-                      : world.servers.at("s0");
-    world.run(milliseconds(2000));
-    first.hangs = true;
-    world.run(milliseconds(3000));
-    // The room that is left there would suit the job best.
-    world.submit(0, job_id(2), "q0", one_step(1, 4));
-    CHECK(starts(2));
-    CHECK_EQUAL(1U, first.active.size());
-    first.hangs = false;
-    world.run(milliseconds(2500));
-    world.submit(0, job_id(3), "q0", one_step(1, 4));
-    CHECK(starts(3));
-    CHECK_EQUAL(2U, first.active.size());
-    check_no_violation();
-}
-
 // Guards against a VM that has just started, or lost the store, and says that
 // no job waits. Seen on grown/umkhonto-ramp, hunt-f82c-7.
 TEST(domain_scheduler, a_count_of_waiting_jobs_is_recent)
--- a/tests/domain_world.cpp
+++ b/tests/domain_world.cpp
@@ -77,12 +77,8 @@
     }
     const auto now = world.now;
     std::vector<std::pair<run_id, run_end>> ends;
-    for (auto& [run, item] : active)
+    for (const auto& [run, item] : active)
     {
-        const auto percent = (now - item.started_at) * 100 / task_time.count();
-        item.percent =
-            hangs ? item.percent
-                  : static_cast<int>(std::min<std::int64_t>(percent, 99));
         const bool finished = !hangs && now >= item.ends_at;
         const auto how = clock(now) > lease_until ? run_end::lapsed
                          : item.stops_at          ? run_end::stopped
@@ -147,8 +143,7 @@
                          world.now + task_time.count(),
                          world.now,
                          order.checkpoint,
-                         std::nullopt,
-                         0};
+                         std::nullopt};
     world.check_capacity(*this);
     return reply;
 }
@@ -206,7 +201,10 @@
                   { return item.number <= order.ends_seen; });
     for (const auto& [run, item] : active)
     {
-        reply.active.push_back({run, "", item.percent});
+        const auto percent =
+            (world.now - item.started_at) * 100 / task_time.count();
+        reply.active.push_back(
+            {run, "", static_cast<int>(std::min<std::int64_t>(percent, 99))});
     }
     for (const auto& item : ended)
     {
--- a/tests/domain_world.hpp
+++ b/tests/domain_world.hpp
@@ -43,8 +43,6 @@
     std::int64_t started_at = 0;
     std::string checkpoint;
     std::optional<std::int64_t> stops_at;
-    // Progress; stands still while the server hangs.
-    int percent = 0;
 };
 
 struct fake_end
@@ -75,7 +73,7 @@
     const fake_vm* only_vm = nullptr;
     bool fails_all = false;
     milliseconds task_time{2000};
-    // Tasks stand still.
+    // Tasks stop at zero progress.
     bool hangs = false;
 
     server_clock clock(std::int64_t now) const
