--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -32,6 +32,10 @@
 // replies of the servers may wait.
 constexpr int pause_after_plan = 3;
 
+// A VM that was frozen while it planned does not wait for long afterwards: the
+// tightest bound in force for urgent jobs is 2.7 s.
+constexpr milliseconds longest_plan_pause{1000};
+
 constexpr milliseconds expiry_every{3000};
 constexpr std::size_t most_expired_at_once = 20;
 
@@ -122,7 +126,8 @@
         const auto after = hooks_.now();
         hooks_.record("plan", after - now);
         next_plan_ = after + plan_every;
-        earliest_plan_ = after + pause_after_plan * (after - now);
+        earliest_plan_ = after + std::min(longest_plan_pause,
+                                          pause_after_plan * (after - now));
     }
     expire_jobs();
     commit();
