--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -127,9 +127,9 @@
 
 void proxy::state::pair::pass(direction& way, std::size_t count)
 {
-    const auto link = owner->link;
-    const bool waits = forgotten || link == link_state::silent ||
-                       (link == link_state::one_way && way.reply);
+    const auto current = owner->link;
+    const bool waits = forgotten || current == link_state::silent ||
+                       (current == link_state::one_way && way.reply);
     if (waits)
     {
         way.timer.expires_after(retry_pause);
