Read the world of the soak through a const accessor

Cause: found on the last read: the soak cast const away to read a job's state, and used std::random_device without its header.

Change: a const overload of site::world, and the include. Behaviour and checks stay.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <filesystem>
 #include <iostream>
+#include <random>
 #include <string>
 
 namespace
--- a/tests/soak/play.cpp
+++ b/tests/soak/play.cpp
@@ -547,8 +547,7 @@
         {
             const bool known = job.accepted || job.maybe_accepted;
             return job.given_up ||
-                   (known &&
-                    is_final(const_cast<site&>(site_).world().state(job.id)));
+                   (known && is_final(site_.world().state(job.id)));
         });
 }
 
--- a/tests/soak/site.hpp
+++ b/tests/soak/site.hpp
@@ -50,6 +50,10 @@
     {
         return world_;
     }
+    const fakes::domain_world& world() const
+    {
+        return world_;
+    }
 
     // Writes the configuration once more, as a newer version.
     void put_config();
