--- /dev/null
+++ b/measure/fleet_figures.cpp
@@ -0,0 +1,106 @@
+#include "fleet_figures.hpp"
+
+#include "fleet_replay.hpp"
+
+#include <cstdint>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+constexpr std::uint64_t first_seed = 1;
+constexpr int seed_count = 5;
+
+time_point at_ms(int value)
+{
+    return time_point(milliseconds(value));
+}
+
+// Twice as many urgent jobs for 6 s on a fleet in use to nine tenths, then a
+// fifth of the servers leave in two steps.
+fleet_day overloaded_day(int servers)
+{
+    auto day = large_site_day(servers);
+    for (auto& kind : day.kinds)
+    {
+        kind.per_second *= 1.1;
+    }
+    day.bursts = {{at_ms(1100), at_ms(7100), 2.1, "shape-check"}};
+    day.losses = {{at_ms(9800), 0.088}, {at_ms(12500), 0.126}};
+    return day;
+}
+
+// Three times the load for 4 s, with a quarter of the servers lost.
+fleet_day burst_day()
+{
+    auto day = grown_site_day();
+    day.bursts = {{at_ms(10000), at_ms(14000), 3, ""}};
+    day.losses = {{at_ms(11000), 0.14}, {at_ms(15000), 0.12}};
+    return day;
+}
+
+// Means over the seeds.
+void print_service(std::ostream& out,
+                   const std::string& name,
+                   const fleet_day& day)
+{
+    double served = 0;
+    double worst = 0;
+    double early = 0;
+    double lost = 0;
+    for (int i = 0; i < seed_count; ++i)
+    {
+        const auto result =
+            replay_fleet(day, first_seed + static_cast<std::uint64_t>(i));
+        served += result.served / seed_count;
+        worst += result.worst_windows / seed_count;
+        early += static_cast<double>(result.stopped_early) / result.runs /
+                 seed_count;
+        lost += result.lost_core_seconds / seed_count;
+    }
+    print(out, {name + ".served", served, "share", 0, first_seed});
+    print(out, {name + ".worst_windows", worst, "share", 0, first_seed});
+    print(out, {name + ".stopped_early", early, "share", 0, first_seed});
+    print(out, {name + ".lost_work", lost, "core seconds", 0, first_seed});
+}
+
+void overload(std::ostream& out)
+{
+    print_service(out, "overload.large", overloaded_day(1100));
+    print_service(out, "overload.burst", burst_day());
+}
+
+void plan_durations(std::ostream& out)
+{
+    for (const int servers : {350, 1100, 3000, 5900})
+    {
+        const auto result = replay_fleet(overloaded_day(servers), first_seed);
+        const auto name = "plan_" + std::to_string(servers);
+        print(out,
+              {name + "_p50",
+               quantile(result.plan_ms, 0.5),
+               "ms",
+               0,
+               first_seed});
+        print(out,
+              {name + "_p99",
+               quantile(result.plan_ms, 0.99),
+               "ms",
+               0,
+               first_seed});
+    }
+}
+
+} // namespace
+
+std::vector<measurement> fleet_measurements()
+{
+    return {{"overload", overload}, {"plan_duration", plan_durations, true}};
+}
+
+} // namespace poplarramp
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,4 +1,5 @@
 // Runs named measurements and prints one JSON line per figure.
+#include "fleet_figures.hpp"
 #include "policy_figures.hpp"
 #include "process_figures.hpp"
 
@@ -22,9 +23,15 @@
         processes = poplarramp::read_process_set(names[1]);
         names.erase(names.begin(), names.begin() + 2);
     }
-    const auto measurements = on_processes
-                                  ? poplarramp::process_measurements(processes)
-                                  : poplarramp::policy_measurements();
+    auto measurements = on_processes
+                            ? poplarramp::process_measurements(processes)
+                            : poplarramp::policy_measurements();
+    if (!on_processes)
+    {
+        const auto of_fleets = poplarramp::fleet_measurements();
+        measurements.insert(
+            measurements.end(), of_fleets.begin(), of_fleets.end());
+    }
     for (const auto& item : measurements)
     {
         const bool selected =
--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -391,10 +391,6 @@
               {"config", std::to_string(deployment_.version())}});
     open_jobs_.try_emplace(job.id, job)
         .first->second.open_due_repetitions(hooks_.unix_now());
-    if (job.policy.priority == 0)
-    {
-        urgent_arrival_ = hooks_.now();
-    }
     request_plan();
 }
 
@@ -632,9 +628,7 @@
         {
             ended_jobs_.insert(id);
             open_jobs_.erase(found);
-            std::erase_if(reservations_,
-                          [&id](const auto& item)
-                          { return std::get<0>(item.first) == id; });
+            planner_.forget_job(id);
         }
     }
     request_plan();
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -8,11 +8,11 @@
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/leadership.hpp"
+#include "domain/planning_view.hpp"
 #include "domain/row_watcher.hpp"
 #include "domain/server_api.hpp"
 #include "domain/server_registry.hpp"
-#include "policy/fit_cache.hpp"
-#include "policy/step_placement.hpp"
+#include "policy/step_planner.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -22,7 +22,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -92,49 +91,6 @@
     }
 
 private:
-    // The waiting tasks of one step.
-    struct waiting_step
-    {
-        job_progress* job = nullptr;
-        int repetition = 0;
-        int step = 0;
-        std::vector<int> tasks;
-        // Fits into the guaranteed accelerators of the customer.
-        bool in_guarantee = false;
-        // Soft deadline of the job: completion is worth little afterwards.
-        std::int64_t deadline_unix_ms = 0;
-        // The deadline can no longer be met.
-        bool misses_deadline = false;
-    };
-
-    // Capacity reserved for a step until runs have ended or been preempted.
-    struct reservation
-    {
-        // Server ids with the number of tasks on each.
-        std::vector<std::pair<std::string, int>> parts;
-        resources need;
-        int priority = 0;
-        time_point expires{};
-        // Stops were requested for all runs that occupy the capacity.
-        bool preempted = false;
-    };
-
-    // Runs, each with the id of its server.
-    using placed_runs = std::vector<std::pair<std::string, run_id>>;
-
-    using step_key = std::tuple<std::string, int, int>;
-
-    // Results shared between the steps of one planning pass.
-    struct plan_cache
-    {
-        fit_cache free_capacity;
-        fit_cache empty_servers;
-        // Capacity including preemptible runs, by priority, whether within the
-        // guarantee, and customer (empty outside the guarantee).
-        std::map<std::tuple<int, bool, std::string>, fit_cache> reclaimable;
-        double utilization = 0;
-    };
-
     // What a commit stores; takes effect here once the commit is confirmed.
     struct commit_contents
     {
@@ -240,54 +196,12 @@
                  const run_id& run,
                  const order_reply& reply);
 
-    // Placement (dispatcher_plan.cpp).
+    // Planning (dispatcher_plan.cpp).
     void plan();
-    std::vector<waiting_step> waiting_steps();
-    void add_waiting(job_progress& progress, std::vector<waiting_step>& steps);
-    std::vector<candidate_server> candidates() const;
-    std::map<std::string, std::int64_t> count_urgent_accelerators() const;
-    placement_request request_for(const waiting_step& item) const;
-    bool place_waiting(const waiting_step& item,
-                       std::vector<candidate_server>& servers);
-    // Skips the search if `memo` has recorded that the request does not fit.
-    // `memo` is null for a step with reserved capacity, which is hidden from
-    // other steps.
-    static std::optional<placement_result>
-    search(const placement_request& request,
-           const std::vector<candidate_server>& servers,
-           fit_cache* memo);
-    bool fits_empty_servers(const placement_request& request,
-                            const std::vector<candidate_server>& servers);
-    void place(const waiting_step& item,
-               const placement_result& result,
-               std::vector<candidate_server>& servers);
-    // Reserves the server with the most free accelerators in each rack for
-    // urgent jobs.
-    void keep_headroom(std::vector<candidate_server>& servers) const;
-    double utilization() const;
-
-    // Reservations and preemption (dispatcher_reservations.cpp).
-    void reserve_and_preempt(const waiting_step& item,
-                             std::vector<candidate_server>& servers);
-    bool open_reservation(const waiting_step& item,
-                          std::vector<candidate_server>& servers);
-    bool may_preempt_all(const waiting_step& item, double lost) const;
-    std::size_t count_waiting_reservations() const;
-    // Runs to be preempted for a reservation.
-    placed_runs
-    select_victims(const waiting_step& item,
-                   const reservation& reserved,
-                   const std::vector<candidate_server>& servers) const;
-    void add_reclaimable(const waiting_step& item,
-                         std::vector<candidate_server>& servers) const;
-    bool may_preempt(const waiting_step& item, const run_id& run) const;
-    double lost_core_seconds(const run_id& run,
-                             const server_run& run_record) const;
-    // Subtracts the reservations of other steps of the same or a more urgent
-    // priority from the free capacity, or adds them back.
-    void exclude_reservations(const waiting_step& item,
-                              std::vector<candidate_server>& servers,
-                              bool add_back) const;
+    void place(const planning_view& view, const planned_placement& decision);
+    void preempt(const planning_view& view,
+                 const planned_preemption& decision,
+                 const placed_runs& victims);
 
     const dispatcher_settings settings_;
     const dispatcher_hooks hooks_;
@@ -312,14 +226,9 @@
     // State of each job in the table.
     std::map<std::string, step_job_state> stored_states_;
     std::set<std::string> dirty_jobs_;
-    std::map<step_key, reservation> reservations_;
-    // Accelerators used by urgent jobs, by customer; updated by each plan.
-    std::map<std::string, std::int64_t> urgent_accelerators_;
-    plan_cache plan_cache_;
+    step_planner planner_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
-    // When the newest urgent job arrived.
-    std::optional<time_point> urgent_arrival_;
     time_point next_plan_{};
     // Delays the next plan, to leave processor time for orders and replies.
     time_point earliest_plan_{};
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -242,6 +242,7 @@
         auto& run = found->second;
         run.lifecycle.on_listed(now);
         run.percent = listed.percent;
+        run.listed_at = now;
         if (!listed.checkpoint.empty() && listed.checkpoint != run.checkpoint)
         {
             run.checkpoint = listed.checkpoint;
@@ -347,8 +348,8 @@
 }
 
 // Current runs of the task or gang, if `ended` is an earlier attempt.
-dispatcher::placed_runs dispatcher::newer_runs(const job_progress& job,
-                                               const run_id& ended) const
+placed_runs dispatcher::newer_runs(const job_progress& job,
+                                   const run_id& ended) const
 {
     placed_runs result;
     const auto* task = job.task(ended.task);
--- /dev/null
+++ b/src/domain/planning_view.cpp
@@ -0,0 +1,369 @@
+#include "domain/planning_view.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// No new task is placed on a server that has not replied for this long.
+constexpr milliseconds max_contact_age{2000};
+
+// How long a server is avoided after a failed run.
+constexpr milliseconds failure_backoff{6000};
+
+// Work since the last checkpoint that a run with checkpoints loses.
+constexpr double checkpoint_loss_s = 0.6;
+
+// Progress below this is too coarse to predict the end of a run.
+constexpr int min_percent = 5;
+
+constexpr double ms_per_s = 1000;
+constexpr int hundred_percent = 100;
+
+// One attempt of a gang.
+using gang_key = std::tuple<const job_progress*, int, int, int>;
+
+class view_builder
+{
+public:
+    explicit view_builder(const planning_records& records) : records_(records)
+    {
+        view_.input.now = records.now;
+        view_.input.unix_now = records.unix_now;
+    }
+
+    planning_view build()
+    {
+        for (auto& [id, job] : records_.jobs)
+        {
+            add_waiting(job);
+        }
+        if (!view_.input.steps.empty())
+        {
+            for (const auto& [id, job] : records_.jobs)
+            {
+                jobs_.emplace(id, &job);
+            }
+            add_servers();
+            count_existing_tasks();
+        }
+        return std::move(view_);
+    }
+
+private:
+    std::size_t customer_index(const std::string& name)
+    {
+        const auto [item, added] =
+            customers_.emplace(name, view_.input.customers.size());
+        if (added)
+        {
+            const auto* customer = records_.deployment.customer(name);
+            view_.input.customers.push_back(
+                {customer == nullptr ? 0 : customer->guaranteed_accelerators,
+                 0});
+        }
+        return item->second;
+    }
+
+    void add_waiting(job_progress& progress)
+    {
+        progress.open_due_repetitions(records_.unix_now);
+        for (auto& [number, repetition] : progress.repetitions())
+        {
+            for (std::size_t i = 0; i < repetition.steps.size(); ++i)
+            {
+                const auto step = static_cast<int>(i);
+                auto tasks = progress.ready_tasks(number, step);
+                if (tasks.empty())
+                {
+                    continue;
+                }
+                auto& since = repetition.steps[i].ready_since;
+                if (since == time_point{})
+                {
+                    since = records_.now;
+                }
+                add_step(progress, number, step, std::move(tasks), since);
+            }
+        }
+    }
+
+    void add_step(job_progress& progress,
+                  int repetition,
+                  int step,
+                  std::vector<int> tasks,
+                  time_point since)
+    {
+        const auto& job = progress.job();
+        waiting_step item;
+        item.id = {job.id, repetition, step};
+        item.request = request_for(progress, step);
+        item.request.tasks = static_cast<int>(tasks.size());
+        item.priority = job.policy.priority;
+        item.customer = customer_index(job.customer);
+        item.accepted_unix_ms = job.accepted_unix_ms;
+        item.deadline_unix_ms =
+            job.accepted_unix_ms + job.policy.latency_slack.count() +
+            static_cast<std::int64_t>(
+                job.policy.stretch *
+                static_cast<double>(critical_path(job.spec).count()));
+        item.ready_since = since;
+        view_.input.steps.push_back(std::move(item));
+        view_.steps.push_back({&progress, std::move(tasks)});
+    }
+
+    placement_request request_for(const job_progress& progress, int step) const
+    {
+        const auto& job = progress.job();
+        placement_request request;
+        request.step = &progress.spec_of(step);
+        request.service = job.service;
+        request.remote_slowdown = records_.remote_slowdown;
+        request.urgent = job.policy.priority == 0;
+        if (const auto* queue = records_.deployment.queue(job.queue))
+        {
+            request.service = queue->service;
+            request.regions = queue->regions;
+        }
+        const auto* customer = records_.deployment.customer(job.customer);
+        if (customer != nullptr && request.regions.empty())
+        {
+            request.regions = customer->regions;
+        }
+        return request;
+    }
+
+    bool is_usable(const server_record& server) const
+    {
+        const auto& registration = server.registration;
+        return server.registered && server.adopted && !registration.draining &&
+               server.last_contact &&
+               records_.now - *server.last_contact < max_contact_age &&
+               records_.now >= server.placement_blocked_until &&
+               !records_.deployment.evacuated(registration.zone) &&
+               records_.deployment.is_active(registration.service);
+    }
+
+    void add_servers()
+    {
+        std::int64_t used = 0;
+        std::int64_t all = 0;
+        for (auto& [id, server] : records_.registry.all())
+        {
+            const auto free = server.free();
+            all += server.registration.capacity.accelerators;
+            used +=
+                server.registration.capacity.accelerators - free.accelerators;
+            const bool usable = is_usable(server);
+            if (usable)
+            {
+                add_server(id, server, free);
+            }
+            for (const auto& [run, run_record] : server.runs)
+            {
+                add_run(id, run, run_record, usable);
+            }
+        }
+        view_.input.utilization =
+            all > 0 ? static_cast<double>(used) / static_cast<double>(all) : 0;
+    }
+
+    void add_server(const std::string& id,
+                    server_record& server,
+                    const resources& free)
+    {
+        const auto& registration = server.registration;
+        candidate_server item;
+        item.id = id;
+        const auto region = records_.regions.find(registration.zone);
+        item.region = region == records_.regions.end() ? "" : region->second;
+        item.rack = registration.rack;
+        item.service = registration.service;
+        item.labels = registration.labels;
+        item.capacity = registration.capacity;
+        item.free = free;
+        item.failures = records_.now - server.last_failure < failure_backoff
+                            ? server.failures
+                            : 0;
+        view_.input.servers.push_back(std::move(item));
+        view_.servers.push_back(&server);
+    }
+
+    // Adds the run to its group. Precondition: if its server is usable, that
+    // server was added last.
+    void add_run(const std::string& server,
+                 const run_id& run,
+                 const server_run& record,
+                 bool usable)
+    {
+        const auto found = jobs_.find(run.task.job);
+        const auto* job = found == jobs_.end() ? nullptr : found->second;
+        const auto* task = job == nullptr ? nullptr : job->task(run.task);
+        const bool is_current =
+            task != nullptr && task->server && task->attempt == run.attempt;
+        const auto index = group_index(is_current ? job : nullptr, run, record);
+        auto& group = view_.input.groups[index];
+        view_.group_runs[index].push_back({&server, &run});
+        group.need = record.need;
+        group.accelerators += record.need.accelerators;
+        if (usable)
+        {
+            const auto last = view_.input.servers.size() - 1;
+            group.servers.push_back(last);
+            view_.input.servers[last].groups.push_back(index);
+        }
+        if (!is_current)
+        {
+            // It is stopped in any case, or its job is unknown.
+            return;
+        }
+        const auto& spec = job->spec_of(run.task.step);
+        group.priority = job->job().policy.priority;
+        group.customer = customer_index(job->job().customer);
+        group.preemptible = !spec.long_running;
+        group.lost_core_seconds += lost_core_seconds(spec, record);
+        group.expected_end =
+            std::max(group.expected_end, expected_end(spec, record));
+        if (group.priority == 0 && !group.stopping)
+        {
+            view_.input.customers[group.customer].used +=
+                record.need.accelerators;
+        }
+    }
+
+    // Index of the group that the run belongs to, which is added if it is new.
+    // `job` is null for a run that is not the current one of its task.
+    std::size_t group_index(const job_progress* job,
+                            const run_id& run,
+                            const server_run& record)
+    {
+        const auto next = view_.input.groups.size();
+        const bool stopping = record.lifecycle.phase == run_phase::stopping;
+        if (job != nullptr && !stopping && job->spec_of(run.task.step).gang)
+        {
+            const auto [item, added] = gangs_.emplace(
+                gang_key{job, run.task.repetition, run.task.step, run.attempt},
+                next);
+            if (!added)
+            {
+                return item->second;
+            }
+        }
+        view_.input.groups.emplace_back();
+        view_.group_runs.emplace_back();
+        auto& group = view_.input.groups.back();
+        group.stopping = stopping;
+        group.preemptible = false;
+        group.priority = std::numeric_limits<int>::max();
+        return next;
+    }
+
+    double lost_core_seconds(const step_spec& spec,
+                             const server_run& record) const
+    {
+        if (record.lifecycle.phase == run_phase::placing)
+        {
+            return 0;
+        }
+        // A new leader does not know when a run started, only its progress.
+        const auto elapsed =
+            static_cast<double>((records_.now - record.started_at).count()) /
+            ms_per_s;
+        const auto worked = static_cast<double>(spec.estimate.count()) /
+                            ms_per_s * record.percent / hundred_percent;
+        const double seconds =
+            spec.checkpoints ? checkpoint_loss_s : std::max(elapsed, worked);
+        return seconds * spec.need.equivalent_cores();
+    }
+
+    time_point expected_end(const step_spec& spec,
+                            const server_run& record) const
+    {
+        if (spec.long_running)
+        {
+            return time_point::max();
+        }
+        const auto listed_after = record.listed_at - record.started_at;
+        if (record.percent < min_percent || listed_after <= milliseconds(0))
+        {
+            return std::max(records_.now, record.started_at + spec.estimate);
+        }
+        return record.listed_at + listed_after *
+                                      (hundred_percent - record.percent) /
+                                      record.percent;
+    }
+
+    // A step with a limit of tasks per server has to know its own.
+    void count_existing_tasks()
+    {
+        std::unordered_map<std::string_view, std::size_t> index;
+        for (std::size_t i = 0; i < view_.input.steps.size(); ++i)
+        {
+            auto& step = view_.input.steps[i];
+            if (step.request.step->max_per_server <= 0)
+            {
+                continue;
+            }
+            if (index.empty())
+            {
+                for (std::size_t k = 0; k < view_.input.servers.size(); ++k)
+                {
+                    index.emplace(view_.input.servers[k].id, k);
+                }
+            }
+            auto& existing = step.request.existing_tasks;
+            existing.assign(view_.input.servers.size(), 0);
+            const auto& tasks =
+                view_.steps[i]
+                    .job->repetitions()
+                    .at(step.id.repetition)
+                    .steps[static_cast<std::size_t>(step.id.step)]
+                    .tasks;
+            for (const auto& task : tasks)
+            {
+                const auto found =
+                    task.server ? index.find(task.server->id) : index.end();
+                if (found != index.end())
+                {
+                    ++existing[found->second];
+                }
+            }
+        }
+    }
+
+    const planning_records& records_;
+    planning_view view_;
+    std::unordered_map<std::string_view, const job_progress*> jobs_;
+    std::unordered_map<std::string, std::size_t> customers_;
+    std::map<gang_key, std::size_t> gangs_;
+};
+
+} // namespace
+
+placed_runs planning_view::runs_of(const std::vector<std::size_t>& groups) const
+{
+    placed_runs result;
+    for (const auto group : groups)
+    {
+        for (const auto& item : group_runs[group])
+        {
+            result.emplace_back(*item.server, *item.run);
+        }
+    }
+    return result;
+}
+
+planning_view make_planning_view(const planning_records& records)
+{
+    return view_builder(records).build();
+}
+
+} // namespace poplarramp
--- a/src/domain/server_registry.hpp
+++ b/src/domain/server_registry.hpp
@@ -34,7 +34,9 @@
     // When the start order was first sent.
     time_point started_at{};
     std::string checkpoint;
+    // Progress in the newest list that contained the run.
     int percent = 0;
+    time_point listed_at{};
     // Listed by the server, but not recorded here before.
     bool untracked = false;
 };
--- a/src/policy/step_placement.cpp
+++ b/src/policy/step_placement.cpp
@@ -16,38 +16,15 @@
     return std::find(list.begin(), list.end(), item) != list.end();
 }
 
-bool is_eligible(const placement_request& request,
-                 const candidate_server& server)
-{
-    return server.service == request.service &&
-           (request.urgent || !server.reserved_for_urgent) &&
-           (request.regions.empty() ||
-            contains(request.regions, server.region)) &&
-           (request.step->label.empty() ||
-            contains(server.labels, request.step->label)) &&
-           server.failures <= request.max_failures;
-}
-
 // Tasks of the step that a server can take.
 struct placement_option
 {
     std::size_t server = 0;
     int count = 0;
     double slowdown = 1;
-    double cost = 0;
     std::int64_t left = 0;
 };
 
-resources need_of(const step_spec& step)
-{
-    auto need = step.need;
-    if (step.best_effort)
-    {
-        need.cpu_millis = 0;
-    }
-    return need;
-}
-
 int tasks_that_fit(const placement_request& request,
                    const candidate_server& server,
                    std::size_t index,
@@ -59,49 +36,20 @@
     {
         return 0;
     }
-    int max_count = request.tasks;
-    const int limit = request.step->max_per_server;
-    if (limit > 0)
-    {
-        const int existing_tasks = index < request.existing_tasks.size()
-                                       ? request.existing_tasks[index]
-                                       : 0;
-        max_count = std::min(max_count, limit - existing_tasks);
-    }
-    return free.count_fitting(need, std::max(max_count, 0));
-}
-
-resources available_on(const placement_request& request,
-                       const candidate_server& server)
-{
-    auto free = request.assume_empty ? server.capacity : server.free;
-    if (request.reclaim)
-    {
-        free += server.reclaimable;
-    }
-    return free;
-}
-
-// Factor on the run time of one task on the server, without the spread of a
-// gang.
-double slowdown_on(const placement_request& request,
-                   const candidate_server& server)
-{
-    const auto& rack = request.step->data_rack;
-    const bool remote = !rack.empty() && server.rack != rack;
-    return server.slowdown * (remote ? request.remote_slowdown : 1);
+    return free.count_fitting(need, tasks_allowed_on(request, index));
 }
 
 std::vector<placement_option>
 options_on(const placement_request& request,
            std::span<const candidate_server> servers)
 {
-    const auto need = need_of(*request.step);
+    const auto need = occupied_by_task(*request.step);
     std::vector<placement_option> options;
     for (std::size_t i = 0; i < servers.size(); ++i)
     {
         const auto& server = servers[i];
-        const auto available = available_on(request, server);
+        const auto& available =
+            request.assume_empty ? server.capacity : server.free;
         const int count = tasks_that_fit(request, server, i, need, available);
         if (count <= 0)
         {
@@ -112,13 +60,9 @@
         {
             continue;
         }
-        const bool fits_free =
-            !request.reclaim ||
-            tasks_that_fit(request, server, i, need, server.free) >= count;
         options.push_back({i,
                            count,
                            slowdown,
-                           fits_free ? 0 : server.reclaim_cost,
                            available.accelerators - count * need.accelerators});
     }
     return options;
@@ -138,26 +82,25 @@
         result.parts.push_back({item.server, count});
         result.tasks += count;
         result.slowdown = std::max(result.slowdown, item.slowdown);
-        result.reclaim_cost += item.cost * count;
     }
     return result;
 }
 
-// Orders by reclaim cost, then by slowdown, then by the fewest accelerators
-// left over, so that large shapes remain free elsewhere.
+// Orders by slowdown, then by the fewest accelerators left over, so that large
+// shapes remain free elsewhere.
 void sort_options(std::vector<placement_option>& options)
 {
     std::sort(options.begin(),
               options.end(),
               [](const placement_option& a, const placement_option& b)
               {
-                  return std::tuple(a.cost, a.slowdown, a.left, -a.count) <
-                         std::tuple(b.cost, b.slowdown, b.left, -b.count);
+                  return std::tuple(a.slowdown, a.left, -a.count) <
+                         std::tuple(b.slowdown, b.left, -b.count);
               });
 }
 
-// Places the whole gang in the cheapest and then fastest rack; among equal
-// racks, in the one that fits the fewest tasks.
+// Places the whole gang in the fastest rack. Among equal racks, an urgent gang
+// prefers those kept for urgent steps, then the one that fits the fewest tasks.
 std::optional<placement_result>
 place_in_rack(const placement_request& request,
               std::span<const candidate_server> servers,
@@ -169,7 +112,7 @@
         racks[servers[item.server].rack].push_back(item);
     }
     std::optional<placement_result> best;
-    std::tuple<double, double, int> best_rank;
+    std::tuple<double, bool, int> best_rank;
     for (auto& [rack, in_rack] : racks)
     {
         int total = 0;
@@ -183,7 +126,8 @@
         }
         sort_options(in_rack);
         auto result = fill(in_rack, request.tasks);
-        const std::tuple rank{result.reclaim_cost, result.slowdown, total};
+        const bool kept = servers[in_rack.front().server].reserved_for_urgent;
+        const std::tuple rank{result.slowdown, !kept, total};
         if (!best || rank < best_rank)
         {
             best = std::move(result);
@@ -221,6 +165,52 @@
 
 } // namespace
 
+resources occupied_by_task(const step_spec& step)
+{
+    auto need = step.need;
+    if (step.best_effort)
+    {
+        need.cpu_millis = 0;
+    }
+    return need;
+}
+
+bool is_eligible(const placement_request& request,
+                 const candidate_server& server)
+{
+    return server.service == request.service &&
+           (request.urgent || !server.reserved_for_urgent ||
+            request.step->data_rack == server.rack) &&
+           (request.regions.empty() ||
+            contains(request.regions, server.region)) &&
+           (request.step->label.empty() ||
+            contains(server.labels, request.step->label)) &&
+           server.failures <= request.max_failures;
+}
+
+// Factor on the run time of one task on the server, without the spread of a
+// gang.
+double slowdown_on(const placement_request& request,
+                   const candidate_server& server)
+{
+    const auto& rack = request.step->data_rack;
+    const bool remote = !rack.empty() && server.rack != rack;
+    return server.slowdown * (remote ? request.remote_slowdown : 1);
+}
+
+int tasks_allowed_on(const placement_request& request, std::size_t server)
+{
+    const int limit = request.step->max_per_server;
+    if (limit <= 0)
+    {
+        return request.tasks;
+    }
+    const int existing_tasks = server < request.existing_tasks.size()
+                                   ? request.existing_tasks[server]
+                                   : 0;
+    return std::clamp(limit - existing_tasks, 0, request.tasks);
+}
+
 std::optional<placement_result>
 place_step(const placement_request& request,
            std::span<const candidate_server> servers)
@@ -239,7 +229,6 @@
                   std::span<const candidate_server> servers)
 {
     auto empty = request;
-    empty.reclaim = false;
     empty.urgent = true;
     empty.max_slowdown = std::numeric_limits<double>::max();
     empty.max_failures = std::numeric_limits<int>::max();
--- a/src/policy/step_placement.hpp
+++ b/src/policy/step_placement.hpp
@@ -23,15 +23,15 @@
     std::vector<std::string> labels;
     resources capacity;
     resources free;
-    // Resources that stopping runs would add to `free`, and the cost of that,
-    // in core seconds of lost work per placed task.
-    resources reclaimable;
-    double reclaim_cost = 0;
+    // Indices of the run groups with a member on the server, one entry for each
+    // member.
+    std::vector<std::size_t> groups;
     // Factor on run times, relative to the fastest servers.
     double slowdown = 1;
     // Failed runs since the last successful one.
     int failures = 0;
-    // Kept free for urgent jobs.
+    // Kept for urgent steps: no other step is placed here, except near its
+    // data.
     bool reserved_for_urgent = false;
 };
 
@@ -46,8 +46,6 @@
     // none.
     std::vector<int> existing_tasks;
     bool urgent = false;
-    // Treat reclaimable resources as free.
-    bool reclaim = false;
     // Treat all servers as empty.
     bool assume_empty = false;
     // Servers with more failures are left out.
@@ -72,10 +70,25 @@
     int tasks = 0;
     // Factor on the run time, for slow servers and distant racks.
     double slowdown = 1;
-    // Work lost by stopping runs, in core seconds.
-    double reclaim_cost = 0;
 };
 
+// Resources that one task of the step takes from a server. Thread safe.
+resources occupied_by_task(const step_spec& step);
+
+// True if the server may run tasks of the step, whatever its free resources.
+// Thread safe.
+bool is_eligible(const placement_request& request,
+                 const candidate_server& server);
+
+// Factor on the run time of one task on the server, without the spread of a
+// gang over racks. Thread safe.
+double slowdown_on(const placement_request& request,
+                   const candidate_server& server);
+
+// How many more tasks the limit of tasks per server allows on the server with
+// this index. Thread safe.
+int tasks_allowed_on(const placement_request& request, std::size_t server);
+
 // Places up to `tasks` tasks, for a gang all or none. nullopt if no task is
 // placed. Precondition: `step` is set. Thread safe.
 std::optional<placement_result>
--- /dev/null
+++ b/src/policy/step_planner.cpp
@@ -0,0 +1,603 @@
+#include "policy/step_planner.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <tuple>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// How long a task waits for servers near its data, or a gang for a single rack,
+// while less than `busy_utilization` of the accelerators is in use. Above that
+// it waits longer, since a task placed elsewhere takes several times as long.
+// Steps within a guarantee do not, since they must start within 2.7 s at the
+// strictest.
+constexpr milliseconds locality_timeout{1200};
+constexpr double busy_utilization = 0.5;
+
+// Lifetime of a reservation. Stopped runs end within a second; other runs take
+// their time.
+constexpr milliseconds preempting_reservation_lifetime{3000};
+constexpr milliseconds waiting_reservation_lifetime{12000};
+
+// A reservation is searched anew after this time: a run that was expected to
+// end has not, or other capacity has become cheaper.
+constexpr milliseconds search_interval{500};
+
+// Limits reservations that wait for runs to end, since their free capacity
+// stays idle.
+constexpr int max_waiting_reservations = 3;
+
+// Searches for occupied capacity in one plan. Each looks at all runs.
+constexpr int max_searches = 12;
+
+// Limit on the work lost by preemption for an urgent step outside of its
+// customer's guarantee, as a multiple of the step's own work. Steps that are
+// not urgent stop no runs: replays of an overloaded fleet lost more work by
+// that than they gained.
+constexpr double max_loss_factor = 1.5;
+
+// Cost of a stop beside the lost work, as run time: the place is not used while
+// the run stops, waits and starts again, and a gang has to be assembled anew.
+constexpr double stop_overhead_s = 1;
+
+// A group that is expected to end within this time is waited for.
+constexpr milliseconds soon{300};
+// An expected end that passed longer ago was a wrong estimate.
+constexpr milliseconds overdue{200};
+
+// Stopping an urgent run costs its customer more than the lost work, and more
+// still if it takes the customer below its guarantee.
+constexpr double urgent_victim_weight = 4;
+constexpr double guarantee_victim_weight = 4;
+
+constexpr double ms_per_s = 1000;
+
+constexpr double no_limit = std::numeric_limits<double>::infinity();
+
+} // namespace
+
+plan_decisions step_planner::plan(planning_input input)
+{
+    round_ = {};
+    round_.input = std::move(input);
+    round_.claims = guarantee_claims(round_.input.customers);
+    validate_reservations();
+    claim_guarantees();
+    update_reservation_levels();
+    keep_headroom();
+    int excluded = -1;
+    for (const auto index : ranked_steps())
+    {
+        while (excluded < level_of(index))
+        {
+            exclude_reservations(++excluded);
+        }
+        plan_step(index);
+    }
+    return std::move(round_.decisions);
+}
+
+void step_planner::forget_job(const std::string& job)
+{
+    std::erase_if(reservations_,
+                  [&job](const auto& item) { return item.first.job == job; });
+}
+
+void step_planner::claim_guarantees()
+{
+    const auto& steps = round_.input.steps;
+    round_.in_guarantee.assign(steps.size(), false);
+    std::vector<std::size_t> urgent;
+    for (std::size_t i = 0; i < steps.size(); ++i)
+    {
+        if (steps[i].priority == 0)
+        {
+            urgent.push_back(i);
+        }
+    }
+    std::sort(urgent.begin(),
+              urgent.end(),
+              [&steps](std::size_t a, std::size_t b)
+              {
+                  return std::tie(steps[a].accepted_unix_ms, steps[a].id) <
+                         std::tie(steps[b].accepted_unix_ms, steps[b].id);
+              });
+    for (const auto index : urgent)
+    {
+        const auto& request = steps[index].request;
+        round_.in_guarantee[index] = round_.claims.claim(
+            steps[index].customer,
+            request.tasks * request.step->need.accelerators);
+    }
+}
+
+bool step_planner::misses_deadline(const waiting_step& step) const
+{
+    return round_.input.unix_now + step.request.step->estimate.count() >
+           step.deadline_unix_ms;
+}
+
+std::vector<std::size_t> step_planner::ranked_steps() const
+{
+    const auto& steps = round_.input.steps;
+    std::vector<std::size_t> order(steps.size());
+    for (std::size_t i = 0; i < order.size(); ++i)
+    {
+        order[i] = i;
+    }
+    const auto rank = [this, &steps](std::size_t index)
+    {
+        const auto& step = steps[index];
+        return std::tuple<int, bool, std::int64_t, const step_id&>(
+            level_of(index),
+            misses_deadline(step),
+            step.deadline_unix_ms,
+            step.id);
+    };
+    std::sort(order.begin(),
+              order.end(),
+              [&rank](std::size_t a, std::size_t b)
+              { return rank(a) < rank(b); });
+    return order;
+}
+
+void step_planner::keep_headroom()
+{
+    std::int64_t urgent = 0;
+    for (const auto& group : round_.input.groups)
+    {
+        urgent +=
+            group.priority == 0 && !group.stopping ? group.accelerators : 0;
+    }
+    for (const auto& step : round_.input.steps)
+    {
+        urgent += step.priority == 0 ? step.request.tasks *
+                                           step.request.step->need.accelerators
+                                     : 0;
+    }
+    headroom_.record(round_.input.now, urgent);
+    if (round_.input.utilization >= busy_utilization)
+    {
+        headroom_.keep(round_.input.servers, round_.input.groups);
+    }
+}
+
+// Drops reservations that have expired, or whose servers cannot be used any
+// more.
+void step_planner::validate_reservations()
+{
+    for (auto item = reservations_.begin(); item != reservations_.end();)
+    {
+        const bool valid = round_.input.now < item->second.expires &&
+                           find_places(item->second);
+        item = valid ? std::next(item) : reservations_.erase(item);
+    }
+}
+
+// Looks up the servers of the reservation; false if one cannot be used.
+bool step_planner::find_places(reservation& reserved) const
+{
+    const auto& servers = round_.input.servers;
+    reserved.places.clear();
+    for (const auto& [id, count] : reserved.parts)
+    {
+        const auto found = std::lower_bound(
+            servers.begin(),
+            servers.end(),
+            id,
+            [](const candidate_server& server, const std::string& value)
+            { return server.id < value; });
+        if (found == servers.end() || found->id != id)
+        {
+            return false;
+        }
+        reserved.places.push_back(
+            {static_cast<std::size_t>(found - servers.begin()), count});
+    }
+    return true;
+}
+
+// Urgency of a step, 0 first: urgent steps within their guarantee, other urgent
+// steps, then the other priorities.
+int step_planner::level_of(std::size_t index) const
+{
+    return round_.in_guarantee[index] ? 0
+                                      : round_.input.steps[index].priority + 1;
+}
+
+// A step may come into its customer's guarantee, or leave it, while it waits.
+void step_planner::update_reservation_levels()
+{
+    for (std::size_t i = 0; i < round_.input.steps.size(); ++i)
+    {
+        const auto found = reservations_.find(round_.input.steps[i].id);
+        if (found != reservations_.end())
+        {
+            found->second.level = level_of(i);
+        }
+    }
+}
+
+// Hides the capacity that is reserved for steps of this level from those of
+// this and the following levels.
+void step_planner::exclude_reservations(int level)
+{
+    for (const auto& [id, reserved] : reservations_)
+    {
+        if (reserved.level == level)
+        {
+            exclude(reserved, false);
+        }
+    }
+}
+
+void step_planner::exclude(const reservation& reserved, bool add_back)
+{
+    for (const auto& [server, count] : reserved.places)
+    {
+        auto& free = round_.input.servers[server].free;
+        for (int i = 0; i < count; ++i)
+        {
+            add_back ? free += reserved.need : free -= reserved.need;
+        }
+    }
+}
+
+void step_planner::plan_step(std::size_t index)
+{
+    const auto& step = round_.input.steps[index];
+    const auto own = reservations_.find(step.id);
+    const bool has_reservation = own != reservations_.end();
+    if (has_reservation)
+    {
+        exclude(own->second, true);
+    }
+    const int missing = step.request.tasks - place_free(index, has_reservation);
+    if (has_reservation)
+    {
+        exclude(own->second, false);
+        if (missing == 0)
+        {
+            close_reservation(own);
+        }
+    }
+    if (missing > 0)
+    {
+        reserve(index, missing);
+    }
+}
+
+int step_planner::place_free(std::size_t index, bool has_reservation)
+{
+    const auto& step = round_.input.steps[index];
+    auto request = step.request;
+    // Reserved capacity is hidden from other steps, so that the result of this
+    // search does not hold for them.
+    auto* cache = has_reservation ? nullptr : &round_.free_capacity;
+    auto result = search(request, cache);
+    const bool allow_remote =
+        round_.input.now - step.ready_since >= locality_timeout &&
+        (round_.in_guarantee[index] ||
+         round_.input.utilization < busy_utilization);
+    if (!result && (allow_remote || !fits_empty_servers(request)))
+    {
+        request.max_slowdown =
+            request.remote_slowdown * request.remote_slowdown;
+        result = search(request, cache);
+    }
+    if (!result)
+    {
+        return 0;
+    }
+    apply_placement(index, *result);
+    return result->tasks;
+}
+
+std::optional<placement_result>
+step_planner::search(const placement_request& request, fit_cache* cache)
+{
+    // Tasks that are not a gang may be placed in part.
+    auto min_request = request;
+    min_request.tasks = request.step->gang ? request.tasks : 1;
+    if (cache != nullptr && cache->fits(min_request) == false)
+    {
+        return std::nullopt;
+    }
+    auto result = place_step(request, round_.input.servers);
+    if (cache != nullptr && (!result || result->tasks < request.tasks))
+    {
+        cache->record(min_request, false);
+    }
+    return result;
+}
+
+bool step_planner::fits_empty_servers(const placement_request& request)
+{
+    if (const auto known = round_.empty_servers.fits(request))
+    {
+        return *known;
+    }
+    const bool fits = can_ever_fit(request, round_.input.servers);
+    round_.empty_servers.record(request, fits);
+    return fits;
+}
+
+void step_planner::apply_placement(std::size_t index,
+                                   const placement_result& result)
+{
+    const auto& step = round_.input.steps[index];
+    const auto need = occupied_by_task(*step.request.step);
+    for (const auto& part : result.parts)
+    {
+        for (int i = 0; i < part.count; ++i)
+        {
+            round_.input.servers[part.server].free -= need;
+        }
+    }
+    if (step.priority == 0)
+    {
+        round_.claims.add_use(step.customer, result.tasks * need.accelerators);
+    }
+    round_.decisions.placements.push_back(
+        {index, step.id, result, round_.in_guarantee[index]});
+}
+
+int step_planner::waiting_reservations() const
+{
+    return static_cast<int>(std::count_if(reservations_.begin(),
+                                          reservations_.end(),
+                                          [](const auto& item)
+                                          { return !item.second.preempted; }));
+}
+
+// An urgent step always gets a reservation; of the others only gangs, which the
+// tasks of less urgent jobs would starve.
+void step_planner::reserve(std::size_t index, int tasks)
+{
+    const auto& step = round_.input.steps[index];
+    const auto now = round_.input.now;
+    const bool urgent = step.priority == 0;
+    const auto found = reservations_.find(step.id);
+    const bool exists = found != reservations_.end();
+    if (exists && now < found->second.next_search)
+    {
+        return;
+    }
+    if (!urgent && (!step.request.step->gang || misses_deadline(step)))
+    {
+        return;
+    }
+    if (round_.searches >= max_searches)
+    {
+        round_.decisions.incomplete = true;
+        return;
+    }
+    if (preempt_for(index, tasks))
+    {
+        return;
+    }
+    if (exists)
+    {
+        found->second.next_search = now + search_interval;
+        return;
+    }
+    if (!urgent && waiting_reservations() >= max_waiting_reservations)
+    {
+        return;
+    }
+    if (const auto claim = find_occupied(index, tasks, false))
+    {
+        open_reservation(index, *claim, false);
+    }
+}
+
+// Stops runs for an urgent step if that is allowed.
+bool step_planner::preempt_for(std::size_t index, int tasks)
+{
+    const auto& step = round_.input.steps[index];
+    if (step.priority != 0)
+    {
+        return false;
+    }
+    const auto claim = find_occupied(index, tasks, true);
+    if (!claim)
+    {
+        return false;
+    }
+    double lost = 0;
+    for (const auto group : claim->groups)
+    {
+        lost += loss_of(round_.input.groups[group]);
+    }
+    const auto& spec = *step.request.step;
+    const double own = static_cast<double>(spec.estimate.count()) / ms_per_s *
+                       spec.need.equivalent_cores() * tasks;
+    if (!round_.in_guarantee[index] && lost > max_loss_factor * own)
+    {
+        return false;
+    }
+    open_reservation(index, *claim, true);
+    stop_groups(index, *claim);
+    return true;
+}
+
+std::optional<capacity_claim>
+step_planner::find_occupied(std::size_t index, int tasks, bool preempt)
+{
+    const auto& step = round_.input.steps[index];
+    auto request = step.request;
+    request.tasks = tasks;
+    const bool urgent = step.priority == 0;
+    const auto owner = round_.in_guarantee[index] ? std::optional(step.customer)
+                                                  : std::nullopt;
+    auto& cache = round_.occupied_capacity[{step.priority, preempt, owner}];
+    auto remote_request = request;
+    remote_request.max_slowdown =
+        request.remote_slowdown * request.remote_slowdown;
+    if (cache.fits(remote_request) == false)
+    {
+        return std::nullopt;
+    }
+    ++round_.searches;
+    const end_cost cost =
+        [this, index, preempt](std::size_t group,
+                               std::span<const std::size_t> chosen)
+    {
+        return preempt ? stop_cost(index, group, chosen) : wait_cost(group);
+    };
+    const auto& servers = round_.input.servers;
+    const auto& groups = round_.input.groups;
+    auto claim = find_capacity(request, servers, groups, cost, no_limit);
+    if (!claim && (urgent || !fits_empty_servers(request)))
+    {
+        claim = find_capacity(remote_request, servers, groups, cost, no_limit);
+        if (!claim)
+        {
+            cache.record(remote_request, false);
+        }
+    }
+    return claim;
+}
+
+bool step_planner::ends_soon(const run_group& group) const
+{
+    const auto left = group.expected_end - round_.input.now;
+    return left > -overdue && left <= soon;
+}
+
+// What the fleet loses if the group is stopped, in core seconds.
+double step_planner::loss_of(const run_group& group) const
+{
+    if (ends_soon(group))
+    {
+        return 0;
+    }
+    return group.lost_core_seconds +
+           stop_overhead_s * group.need.equivalent_cores() *
+               static_cast<double>(group.servers.size());
+}
+
+// Cost of stopping the group for the step, in core seconds.
+std::optional<double>
+step_planner::stop_cost(std::size_t index,
+                        std::size_t group,
+                        std::span<const std::size_t> chosen) const
+{
+    const auto& step = round_.input.steps[index];
+    const auto& victim = round_.input.groups[group];
+    if (ends_soon(victim))
+    {
+        return 0;
+    }
+    if (!victim.preemptible)
+    {
+        return std::nullopt;
+    }
+    const double cost = victim.lost_core_seconds +
+                        stop_overhead_s * victim.need.equivalent_cores() *
+                            static_cast<double>(victim.servers.size());
+    if (victim.priority > step.priority)
+    {
+        return cost;
+    }
+    if (!round_.in_guarantee[index] || victim.priority != 0 ||
+        victim.customer == step.customer)
+    {
+        return std::nullopt;
+    }
+    auto borrowed = round_.claims.borrowed(victim.customer);
+    for (const auto other : chosen)
+    {
+        const auto& taken = round_.input.groups[other];
+        if (taken.priority == 0 && taken.customer == victim.customer)
+        {
+            borrowed -= taken.accelerators;
+        }
+    }
+    if (borrowed <= 0)
+    {
+        return std::nullopt;
+    }
+    return cost * urgent_victim_weight *
+           (victim.accelerators > borrowed ? guarantee_victim_weight : 1);
+}
+
+// Time until the group ends by itself, in milliseconds.
+std::optional<double> step_planner::wait_cost(std::size_t group) const
+{
+    const auto& waited_for = round_.input.groups[group];
+    if (waited_for.expected_end == time_point::max())
+    {
+        return std::nullopt;
+    }
+    const auto left = waited_for.expected_end - round_.input.now;
+    return static_cast<double>(std::max(left, milliseconds(0)).count());
+}
+
+void step_planner::open_reservation(std::size_t index,
+                                    const capacity_claim& claim,
+                                    bool preempted)
+{
+    const auto& step = round_.input.steps[index];
+    const auto now = round_.input.now;
+    const auto existing = reservations_.find(step.id);
+    if (existing != reservations_.end())
+    {
+        close_reservation(existing);
+    }
+    auto& reserved = reservations_[step.id];
+    reserved.need = occupied_by_task(*step.request.step);
+    reserved.level = level_of(index);
+    reserved.preempted = preempted;
+    reserved.expires =
+        now + (preempted || step.priority == 0 ? preempting_reservation_lifetime
+                                               : waiting_reservation_lifetime);
+    reserved.next_search = now + search_interval;
+    reserved.places = claim.parts;
+    for (const auto& part : claim.parts)
+    {
+        reserved.parts.emplace_back(round_.input.servers[part.server].id,
+                                    part.count);
+    }
+    exclude(reserved, false);
+}
+
+// Precondition: the capacity of the reservation is hidden.
+void step_planner::close_reservation(reservation_map::iterator item)
+{
+    exclude(item->second, true);
+    reservations_.erase(item);
+}
+
+void step_planner::stop_groups(std::size_t index, const capacity_claim& claim)
+{
+    planned_preemption decision;
+    decision.step = index;
+    decision.in_guarantee = round_.in_guarantee[index];
+    for (const auto item : claim.groups)
+    {
+        auto& group = round_.input.groups[item];
+        if (ends_soon(group))
+        {
+            continue;
+        }
+        decision.groups.push_back(item);
+        decision.lost_core_seconds += group.lost_core_seconds;
+        group.stopping = true;
+        if (group.priority == 0)
+        {
+            round_.claims.add_use(group.customer, -group.accelerators);
+        }
+    }
+    if (!decision.groups.empty())
+    {
+        round_.decisions.preemptions.push_back(std::move(decision));
+    }
+}
+
+} // namespace poplarramp
--- /dev/null
+++ b/src/policy/step_planner.hpp
@@ -0,0 +1,191 @@
+// Plans one scheduling domain: which waiting tasks are placed on which servers,
+// and which runs are stopped to make room for them. Knows no network and no
+// store.
+#ifndef POPLARRAMP_POLICY_STEP_PLANNER_HPP
+#define POPLARRAMP_POLICY_STEP_PLANNER_HPP
+
+#include "base/time.hpp"
+#include "policy/capacity_search.hpp"
+#include "policy/fit_cache.hpp"
+#include "policy/guarantee_claims.hpp"
+#include "policy/step_placement.hpp"
+#include "policy/urgent_headroom.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace poplarramp
+{
+
+struct step_id
+{
+    std::string job;
+    int repetition = 0;
+    int step = 0;
+
+    bool operator==(const step_id& other) const = default;
+    bool operator<(const step_id& other) const
+    {
+        return std::tie(job, repetition, step) <
+               std::tie(other.job, other.repetition, other.step);
+    }
+};
+
+// The tasks of one step that can be placed.
+struct waiting_step
+{
+    step_id id;
+    // Its `tasks` is the number of waiting tasks.
+    placement_request request;
+    // 0 is urgent.
+    int priority = 0;
+    // Index of the customer.
+    std::size_t customer = 0;
+    std::int64_t accepted_unix_ms = 0;
+    // Soft deadline of the job: completion is worth little afterwards.
+    std::int64_t deadline_unix_ms = 0;
+    // When the tasks could first be placed.
+    time_point ready_since{};
+};
+
+// State of the domain at the time of a plan.
+struct planning_input
+{
+    time_point now{};
+    std::int64_t unix_now = 0;
+    // Servers that can take tasks, sorted by id.
+    std::vector<candidate_server> servers;
+    std::vector<run_group> groups;
+    std::vector<waiting_step> steps;
+    // Guarantees of the customers, and what their urgent runs use.
+    std::vector<customer_use> customers;
+    // Share of all accelerators that is in use.
+    double utilization = 0;
+};
+
+struct planned_placement
+{
+    // Index and id of the waiting step.
+    std::size_t step = 0;
+    step_id id;
+    placement_result result;
+    bool in_guarantee = false;
+};
+
+struct planned_preemption
+{
+    // Index of the waiting step that gets the capacity.
+    std::size_t step = 0;
+    // Indices of the groups to stop.
+    std::vector<std::size_t> groups;
+    double lost_core_seconds = 0;
+    bool in_guarantee = false;
+};
+
+// To be carried out in this order: placements, then preemptions.
+struct plan_decisions
+{
+    std::vector<planned_placement> placements;
+    std::vector<planned_preemption> preemptions;
+    // The plan was cut short; another one is due at once.
+    bool incomplete = false;
+};
+
+// Not thread safe.
+class step_planner
+{
+public:
+    plan_decisions plan(planning_input input);
+
+    // Drops the reservations of an ended job.
+    void forget_job(const std::string& job);
+
+private:
+    // Capacity reserved for a step until runs have ended.
+    struct reservation
+    {
+        // Server ids with the number of tasks on each.
+        std::vector<std::pair<std::string, int>> parts;
+        // The same with the indices of the servers; valid during one plan.
+        std::vector<placed_tasks> places;
+        resources need;
+        // Of the step that it was made for.
+        int level = 0;
+        time_point expires{};
+        // The search for capacity is repeated after this time.
+        time_point next_search{};
+        // Stops were requested for the runs that occupy the capacity.
+        bool preempted = false;
+    };
+
+    using reservation_map = std::map<step_id, reservation>;
+
+    // State of the plan in progress.
+    struct round
+    {
+        planning_input input;
+        guarantee_claims claims{{}};
+        // By waiting step.
+        std::vector<bool> in_guarantee;
+        fit_cache free_capacity;
+        fit_cache empty_servers;
+        // Searches that counted on the end of runs, by priority, whether runs
+        // were to be stopped and, within the guarantee, customer.
+        std::map<std::tuple<int, bool, std::optional<std::size_t>>, fit_cache>
+            occupied_capacity;
+        int searches = 0;
+        plan_decisions decisions;
+    };
+
+    void claim_guarantees();
+    std::vector<std::size_t> ranked_steps() const;
+    void keep_headroom();
+    void validate_reservations();
+    bool find_places(reservation& reserved) const;
+    int level_of(std::size_t index) const;
+    void update_reservation_levels();
+    void exclude_reservations(int level);
+    void exclude(const reservation& reserved, bool add_back);
+
+    void plan_step(std::size_t index);
+    // Returns the number of tasks that are placed on free resources.
+    int place_free(std::size_t index, bool has_reservation);
+    std::optional<placement_result> search(const placement_request& request,
+                                           fit_cache* cache);
+    bool fits_empty_servers(const placement_request& request);
+    void apply_placement(std::size_t index, const placement_result& result);
+
+    // Reserves capacity for tasks that do not fit now.
+    void reserve(std::size_t index, int tasks);
+    bool preempt_for(std::size_t index, int tasks);
+    void open_reservation(std::size_t index,
+                          const capacity_claim& claim,
+                          bool preempted);
+    void close_reservation(reservation_map::iterator item);
+    std::optional<capacity_claim>
+    find_occupied(std::size_t index, int tasks, bool preempt);
+    std::optional<double> stop_cost(std::size_t index,
+                                    std::size_t group,
+                                    std::span<const std::size_t> chosen) const;
+    std::optional<double> wait_cost(std::size_t group) const;
+    void stop_groups(std::size_t index, const capacity_claim& claim);
+    bool misses_deadline(const waiting_step& step) const;
+    double loss_of(const run_group& group) const;
+    bool ends_soon(const run_group& group) const;
+    int waiting_reservations() const;
+
+    reservation_map reservations_;
+    urgent_headroom headroom_;
+    round round_;
+};
+
+} // namespace poplarramp
+
+#endif
--- a/tests/domain_simulation.cpp
+++ b/tests/domain_simulation.cpp
@@ -62,14 +62,16 @@
                       const run_id& run,
                       run_outcome outcome)
 {
-    if (active.erase(run) == 0)
+    const auto found = active.find(run);
+    if (found == active.end())
     {
         return;
     }
+    sim.on_end(found->second, outcome);
+    active.erase(found);
     ended.push_back({++last_end_number, run, outcome});
     highest_attempt[run.task] =
         std::max(highest_attempt[run.task], run.attempt);
-    (void)sim;
 }
 
 void fake_server::advance(domain_simulation& sim)
@@ -143,11 +145,15 @@
         return reply;
     }
     sim.on_start(*this, order.run);
+    const auto of_job = sim.task_times.find(order.run.task.job);
+    const auto run_time =
+        of_job == sim.task_times.end() ? task_time : of_job->second;
     active[order.run] = {order.run,
-                         sim.now + task_time.count(),
+                         sim.now + run_time.count(),
                          sim.now,
                          order.checkpoint,
-                         std::nullopt};
+                         std::nullopt,
+                         0};
     sim.check_capacity(*this);
     return reply;
 }
@@ -208,7 +214,8 @@
     for (const auto& [run, item] : active)
     {
         const auto percent =
-            (sim.now - item.started_at) * 100 / task_time.count();
+            (sim.now - item.started_at) * 100 /
+            std::max<std::int64_t>(1, item.ends_at - item.started_at);
         reply.active.push_back(
             {run, "", static_cast<int>(std::min<std::int64_t>(percent, 99))});
     }
@@ -879,12 +886,13 @@
                                const std::string& id,
                                const std::string& queue,
                                step_job_spec spec,
-                               const std::function<void(job_api_reply)>& done)
+                               const std::function<void(job_api_reply)>& done,
+                               const std::string& key)
 {
     auto& target = *vms[static_cast<std::size_t>(vm)];
     failure why;
     const auto call =
-        target.api->admit("host", "/" + queue + "/" + id, "bead-key", why);
+        target.api->admit("host", "/" + queue + "/" + id, key, why);
     if (!call)
     {
         violations.push_back("submit of " + id + " was refused: " + why.reason);
@@ -966,10 +974,24 @@
     }
 }
 
-void domain_simulation::check_capacity(const fake_server& server)
+void domain_simulation::on_end(const fake_run& run, run_outcome outcome)
+{
+    if (outcome == run_outcome::done)
+    {
+        completed_work += run.accelerators * (run.ends_at - run.started_at);
+    }
+    if (outcome == run_outcome::stopped)
+    {
+        ++stopped_runs;
+        const auto worked = (now - stop_duration_ms - run.started_at) * 10;
+        stopped_early += worked < run.ends_at - run.started_at ? 1 : 0;
+    }
+}
+
+void domain_simulation::check_capacity(fake_server& server)
 {
     resources used;
-    for (const auto& [run, item] : server.active)
+    for (auto& [run, item] : server.active)
     {
         const auto row =
             stored_rows.find(job_row_key(run.task.job, job_row_kind::accepted));
@@ -982,8 +1004,9 @@
         failure why;
         const auto json = parse_json(row->second.value, why);
         const auto& steps = (*json)["steps"];
-        used.accelerators +=
+        item.accelerators =
             steps[run.task.step].get("accelerators", 0).asInt64();
+        used.accelerators += item.accelerators;
     }
     if (!server.entry.capacity.covers(used))
     {
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -43,6 +43,7 @@
     std::int64_t started_at = 0;
     std::string checkpoint;
     std::optional<std::int64_t> stops_at;
+    std::int64_t accelerators = 0;
 };
 
 struct fake_run_end
@@ -165,6 +166,8 @@
     bool store_down = false;
 
     std::map<std::string, fake_server> servers;
+    // Run time of the tasks of a job, instead of that of the server.
+    std::map<std::string, milliseconds> task_times;
     std::vector<std::unique_ptr<fake_vm>> vms;
     deployment_config config;
     violation_list violations;
@@ -173,6 +176,12 @@
     std::set<task_name> acknowledged_done;
     int starts = 0;
     std::set<std::string> started_jobs;
+    // Runs that were stopped, and those of them that were stopped before a
+    // tenth of their work.
+    int stopped_runs = 0;
+    int stopped_early = 0;
+    // Accelerator milliseconds of the runs that were successful.
+    std::int64_t completed_work = 0;
 
     void run(milliseconds time);
     // Runs until the condition holds; false on a timeout.
@@ -194,7 +203,8 @@
                 const std::string& id,
                 const std::string& queue,
                 step_job_spec spec,
-                const std::function<void(job_api_reply)>& done = nullptr);
+                const std::function<void(job_api_reply)>& done = nullptr,
+                const std::string& key = "bead-key");
     void cancel(int vm, const std::string& id, const std::string& queue);
     step_job_state state(const std::string& id) const;
     fake_vm* leader();
@@ -203,7 +213,8 @@
     void at(std::int64_t time, std::function<void()> action);
 
     void on_start(const fake_server& server, const run_id& run);
-    void check_capacity(const fake_server& server);
+    void on_end(const fake_run& run, run_outcome outcome);
+    void check_capacity(fake_server& server);
 
 private:
     std::multimap<std::int64_t, std::function<void()>> actions_;
--- /dev/null
+++ b/tests/policy_step_planner_test.cpp
@@ -0,0 +1,292 @@
+// Decisions of the planner on small fleets: guarantees, preemption, headroom
+// and reservations.
+#include "policy/step_planner.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace poplarramp;
+
+namespace
+{
+
+const time_point start{milliseconds(1'000'000)};
+const std::int64_t unix_start = 1'000'000;
+
+step_spec gang_of(int tasks, std::int64_t accelerators)
+{
+    step_spec step;
+    step.tasks = tasks;
+    step.need = {1000, 1000, accelerators};
+    step.estimate = milliseconds(2000);
+    step.gang = true;
+    return step;
+}
+
+} // namespace
+
+TEST_GROUP(step_planner)
+{
+    step_planner planner;
+    planning_input input;
+    // Steps to which requests point.
+    std::deque<step_spec> specs;
+
+    void setup() override
+    {
+        input.now = start;
+        input.unix_now = unix_start;
+        input.utilization = 1;
+    }
+
+    void add_servers(int count, int per_rack = 2)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            candidate_server server;
+            server.id = "s" + std::to_string(100 + i);
+            server.rack = "r" + std::to_string(i / per_rack);
+            server.service = "svc";
+            server.capacity = {64000, 262144, 8};
+            server.free = server.capacity;
+            input.servers.push_back(server);
+        }
+    }
+
+    std::size_t add_customer(std::int64_t guaranteed)
+    {
+        input.customers.push_back({guaranteed, 0});
+        return input.customers.size() - 1;
+    }
+
+    // A group with one member on each of the servers.
+    std::size_t add_group(int priority,
+                          std::size_t customer,
+                          std::int64_t accelerators,
+                          const std::vector<std::size_t>& servers)
+    {
+        run_group group;
+        group.priority = priority;
+        group.customer = customer;
+        group.need = {1000, 1000, accelerators};
+        group.servers = servers;
+        group.accelerators =
+            accelerators * static_cast<std::int64_t>(servers.size());
+        group.lost_core_seconds = 100;
+        group.expected_end = input.now + milliseconds(5000);
+        for (const auto server : servers)
+        {
+            input.servers[server].free -= group.need;
+            input.servers[server].groups.push_back(input.groups.size());
+        }
+        if (priority == 0)
+        {
+            input.customers[customer].used += group.accelerators;
+        }
+        input.groups.push_back(group);
+        return input.groups.size() - 1;
+    }
+
+    void add_step(const std::string& job,
+                  int priority,
+                  std::size_t customer,
+                  const step_spec& spec)
+    {
+        specs.push_back(spec);
+        waiting_step step;
+        step.id = {job, 0, 0};
+        step.request.step = &specs.back();
+        step.request.service = "svc";
+        step.request.tasks = spec.tasks;
+        step.request.urgent = priority == 0;
+        step.request.remote_slowdown = 3;
+        step.priority = priority;
+        step.customer = customer;
+        step.accepted_unix_ms =
+            unix_start + static_cast<std::int64_t>(input.steps.size());
+        step.deadline_unix_ms = unix_start + 10000;
+        step.ready_since = start;
+        input.steps.push_back(step);
+    }
+
+    static std::set<std::size_t> victims_of(const plan_decisions& decisions)
+    {
+        std::set<std::size_t> victims;
+        for (const auto& item : decisions.preemptions)
+        {
+            victims.insert(item.groups.begin(), item.groups.end());
+        }
+        return victims;
+    }
+};
+
+// Guards against two waiting steps that are each within the guarantee by
+// themselves, but not together: both took runs of other customers, and the
+// second was itself a victim afterwards.
+TEST(step_planner, claims_of_one_customer_add_up)
+{
+    add_servers(2);
+    const auto owner = add_customer(8);
+    const auto borrower = add_customer(0);
+    add_group(0, borrower, 8, {0});
+    add_group(0, borrower, 8, {1});
+    add_step("a", 0, owner, gang_of(1, 8));
+    add_step("b", 0, owner, gang_of(1, 8));
+    const auto decisions = planner.plan(input);
+    CHECK_EQUAL(1, decisions.preemptions.size());
+    CHECK_EQUAL(0, decisions.preemptions[0].step);
+    CHECK_EQUAL(1, victims_of(decisions).size());
+}
+
+// Guards against taking more from a customer than it uses beyond its guarantee:
+// it then took the capacity back, and so on without end.
+TEST(step_planner, only_borrowed_accelerators_are_taken)
+{
+    add_servers(3);
+    const auto first = add_customer(16);
+    const auto second = add_customer(16);
+    add_group(0, second, 8, {0});
+    add_group(0, second, 8, {1});
+    add_group(0, second, 8, {2});
+    add_step("a", 0, first, gang_of(1, 8));
+    add_step("b", 0, first, gang_of(1, 8));
+    const auto decisions = planner.plan(input);
+    CHECK_EQUAL(1, victims_of(decisions).size());
+}
+
+// Guards against a plan that places a step and makes it the victim of the next
+// one in the same pass.
+TEST(step_planner, placed_step_is_not_a_victim)
+{
+    add_servers(1);
+    const auto first = add_customer(0);
+    const auto second = add_customer(8);
+    add_step("a", 0, first, gang_of(1, 8));
+    add_step("b", 0, second, gang_of(1, 8));
+    const auto decisions = planner.plan(input);
+    CHECK_EQUAL(1, decisions.placements.size());
+    CHECK_EQUAL(1, decisions.placements[0].step);
+    CHECK(decisions.preemptions.empty());
+}
+
+// Guards against one urgent step that preempts again and again: while the runs
+// stop, the step waits for the capacity it has been given.
+TEST(step_planner, step_preempts_once)
+{
+    add_servers(2);
+    const auto customer = add_customer(0);
+    const auto victim = add_group(1, customer, 8, {0});
+    add_group(1, customer, 8, {1});
+    add_step("a", 0, customer, gang_of(1, 8));
+    CHECK_EQUAL(1, victims_of(planner.plan(input)).size());
+    input.groups[victim].stopping = true;
+    input.now += milliseconds(100);
+    const auto decisions = planner.plan(input);
+    CHECK(decisions.preemptions.empty());
+    CHECK(decisions.placements.empty());
+}
+
+// Guards against less urgent tasks that are put into the capacity that was
+// freed for an urgent step.
+TEST(step_planner, freed_capacity_is_kept_for_the_step)
+{
+    add_servers(2);
+    const auto customer = add_customer(0);
+    add_group(1, customer, 8, {0});
+    add_group(1, customer, 8, {1});
+    add_step("a", 0, customer, gang_of(2, 8));
+    planner.plan(input);
+    // One of the two has ended.
+    input.servers[0].free = input.servers[0].capacity;
+    input.servers[0].groups.clear();
+    input.groups[0].servers.clear();
+    input.groups[1].stopping = true;
+    input.now += milliseconds(100);
+    add_step("b", 1, customer, gang_of(1, 8));
+    CHECK(planner.plan(input).placements.empty());
+}
+
+// Guards against stopping a long gang that has just been assembled for a small
+// urgent step: little work is lost, but many places are.
+TEST(step_planner, preemption_costs_no_more_than_it_gains)
+{
+    add_servers(16);
+    const auto customer = add_customer(0);
+    std::vector<std::size_t> all;
+    for (std::size_t i = 0; i < 16; ++i)
+    {
+        all.push_back(i);
+    }
+    add_group(1, customer, 8, all);
+    input.groups[0].lost_core_seconds = 1;
+    add_step("a", 0, customer, gang_of(1, 8));
+    CHECK(planner.plan(input).preemptions.empty());
+}
+
+// Guards against a guaranteed gang that waits for a rack of its own longer than
+// a guarantee allows, although the servers are free.
+TEST(step_planner, guaranteed_gang_leaves_its_rack_in_time)
+{
+    add_servers(4);
+    const auto owner = add_customer(16);
+    const auto other = add_customer(16);
+    add_group(0, other, 8, {0});
+    add_group(0, other, 8, {2});
+    auto spec = gang_of(2, 8);
+    spec.same_rack = true;
+    add_step("a", 0, owner, spec);
+    CHECK(planner.plan(input).placements.empty());
+    input.now += milliseconds(1200);
+    const auto decisions = planner.plan(input);
+    CHECK_EQUAL(1, decisions.placements.size());
+}
+
+// Guards against a reservation on servers that have left: the step would wait
+// for them until the reservation expires.
+TEST(step_planner, reservation_on_lost_server_is_replaced)
+{
+    add_servers(3);
+    const auto customer = add_customer(0);
+    add_group(1, customer, 8, {0});
+    add_group(1, customer, 8, {1});
+    input.servers[2].free = {};
+    add_step("a", 0, customer, gang_of(1, 8));
+    const auto first = planner.plan(input);
+    CHECK_EQUAL(1, first.preemptions.size());
+    const auto lost = input.groups[first.preemptions[0].groups[0]].servers[0];
+    input.servers[lost].id = "s999";
+    std::swap(input.servers[lost], input.servers[2]);
+    input.groups[first.preemptions[0].groups[0]].servers[0] = 2;
+    input.servers[2].free = {};
+    input.servers[2].groups.clear();
+    input.now += milliseconds(20);
+    CHECK_EQUAL(1, planner.plan(input).preemptions.size());
+}
+
+// Guards against less urgent tasks in the gaps between urgent steps.
+TEST(step_planner, headroom_follows_the_urgent_load)
+{
+    add_servers(8, 8);
+    const auto customer = add_customer(0);
+    add_group(0, customer, 8, {0});
+    add_group(0, customer, 8, {1});
+    add_step("a", 1, customer, gang_of(7, 8));
+    planner.plan(input);
+    // The urgent steps end; their servers are kept for the next ones.
+    input.groups.clear();
+    for (auto& server : input.servers)
+    {
+        server.groups.clear();
+        server.free = server.capacity;
+    }
+    input.now += milliseconds(500);
+    CHECK(planner.plan(input).placements.empty());
+    input.now += milliseconds(60000);
+    planner.plan(input);
+    input.now += milliseconds(60000);
+    CHECK_EQUAL(1, planner.plan(input).placements.size());
+}
