Make the leader's calls to backend servers through relays

Cause: at 1,100 backend servers one VM makes 2,600 calls a second and uses 0.39 to 0.47 of its half core while the other 146 use 0.01; plans and orders come late, and 129 of the VMs could not lead at all.

Change: in domains of 128 servers or more, one VM or a few in each zone make the leader's calls, in batches (src/relay). Relays have no state and no authority: the leader keeps decisions, leases and records, and repeats the calls of a relay that fails directly. Relays refuse batches of an earlier leader, delayed ones and what they read after a suspension.

--- a/src/config/site_settings.cpp
+++ b/src/config/site_settings.cpp
@@ -15,6 +15,7 @@
 constexpr double ms_per_s = 1000;
 constexpr double min_processor_share = 0.01;
 constexpr double max_processor_share = 1024;
+constexpr int max_servers_for_relays = 1'000'000;
 
 const std::string regions_format = "object with the region of each zone";
 
@@ -93,13 +94,19 @@
             "listen",
             {required(address_field("callers", target.listen.callers)),
              required(address_field("ready", target.listen.ready)),
-             required(address_field("metrics", target.listen.metrics))})),
+             required(address_field("metrics", target.listen.metrics)),
+             required(address_field("inner", target.listen.inner))})),
         required(address_field("store", target.store)),
         required(regions_field(target.regions)),
         number_field("processor_share",
                      target.processor_share,
                      min_processor_share,
                      max_processor_share),
+        object_field("relays",
+                     {integer_field("min_servers",
+                                    target.min_servers_for_relays,
+                                    1,
+                                    max_servers_for_relays)}),
         object_field("bounds", bound_schema(target.bounds)),
         object_field("log", log_schema(target.log)),
     };
--- a/src/config/site_settings.hpp
+++ b/src/config/site_settings.hpp
@@ -18,10 +18,12 @@
 
 struct site_listen_settings
 {
-    // "ip:port" for callers, for the readiness probe, and for the metrics page.
+    // "ip:port" for callers, for the readiness probe, for the metrics page, and
+    // for calls of other VMs.
     std::string callers;
     std::string ready;
     std::string metrics;
+    std::string inner;
 };
 
 // Bounds that the site has agreed with its users; the deploy file sets the
@@ -51,6 +53,8 @@
     std::map<std::string, std::string> regions;
     // Cores of this VM; may be a fraction.
     double processor_share = 1;
+    // The leader makes the calls of smaller domains itself.
+    int min_servers_for_relays = 128;
     site_bound_settings bounds;
     log_settings log{log_level::info, "stdout"};
 };
--- a/src/domain/dispatcher_orders.cpp
+++ b/src/domain/dispatcher_orders.cpp
@@ -154,6 +154,8 @@
         return;
     }
     run_record->start_in_flight = false;
+    run_record->confirmed =
+        run_record->confirmed || reply.outcome == order_outcome::done;
     const auto now = hooks_.now();
     const auto next = run_record->lifecycle.on_start_reply(reply.outcome, now);
     log_unconfirmed("A start was not confirmed.", id, run, reply);
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -70,7 +70,11 @@
 
 server_target dispatcher::target_of(const server_record& server) const
 {
-    return {server.registration.address, server.registration.id, epoch_};
+    return {server.registration.address,
+            server.registration.id,
+            epoch_,
+            server.registration.zone,
+            server.registration.rack};
 }
 
 std::optional<server_clock>
@@ -241,6 +245,7 @@
     {
         auto& run = found->second;
         run.lifecycle.on_listed(now);
+        run.confirmed = true;
         run.percent = listed.percent;
         run.listed_at = now;
         if (!listed.checkpoint.empty() && listed.checkpoint != run.checkpoint)
@@ -376,7 +381,9 @@
 
 // Resolves recorded runs that the reply does not list. From its first reply to
 // this epoch, an incarnation refuses earlier leaders, so that an unconfirmed
-// run of theirs that is not listed in this reply cannot start any more.
+// run of theirs that is not listed in this reply cannot start any more. An
+// order of this leader to an earlier incarnation may still reach this one,
+// until a stop of the run is confirmed.
 void dispatcher::resolve_unlisted(const std::string& id,
                                   server_record& server,
                                   time_point requested_at,
@@ -400,8 +407,12 @@
             continue;
         }
         const auto next = run_record.lifecycle.on_not_listed(requested_at);
+        const bool may_be_on_the_way =
+            run_record.starts_sent > 0 &&
+            (!run_record.confirmed ||
+             hooks_.now() - run_record.ordered_at <= max_copy_delay);
         const bool of_last_leader =
-            !server.adopted &&
+            !server.adopted && !may_be_on_the_way &&
             run_record.lifecycle.phase == run_phase::unconfirmed;
         if (next == run_resolution::drop || of_last_leader)
         {
--- a/src/domain/server_api.hpp
+++ b/src/domain/server_api.hpp
@@ -40,6 +40,9 @@
     std::string id;
     // A server refuses epochs lower than the highest that it has seen.
     std::uint64_t epoch = 0;
+    // Where the server is; not sent to it.
+    std::string zone = {};
+    std::string rack = {};
 };
 
 enum class order_outcome
--- a/src/domain/server_registry.hpp
+++ b/src/domain/server_registry.hpp
@@ -20,6 +20,10 @@
 // Longest time after which an order that was sent may still be executed.
 constexpr milliseconds max_order_delay{13000};
 
+// After this time, no copy of an order that was confirmed is on the way any
+// more: a relay may have received one beside the copy that was sent directly.
+constexpr milliseconds max_copy_delay{3000};
+
 // A run that uses, or may use, resources of a server.
 struct server_run
 {
@@ -28,6 +32,8 @@
     bool start_in_flight = false;
     bool stop_in_flight = false;
     int starts_sent = 0;
+    // The server has replied to a start order, or listed the run.
+    bool confirmed = false;
     // When the newest start order was sent.
     time_point ordered_at{};
     time_point next_stop{};
--- a/src/entry/site_vm.cpp
+++ b/src/entry/site_vm.cpp
@@ -8,7 +8,12 @@
 #include "domain/row_watcher.hpp"
 #include "entry/vm_host.hpp"
 #include "http/client.hpp"
+#include "http/json_reply.hpp"
 #include "http/server.hpp"
+#include "relay/call_relay.hpp"
+#include "relay/member_row.hpp"
+#include "relay/relay_http.hpp"
+#include "relay/relayed_servers.hpp"
 #include "report/counters.hpp"
 
 #include <boost/asio/post.hpp>
@@ -32,14 +37,26 @@
 constexpr std::size_t store_long_poll_connections = 4;
 constexpr std::size_t order_connections = 4;
 constexpr std::size_t server_long_poll_connections = 2;
+// Batches of calls to a relay overlap, reports to the leader too.
+constexpr std::size_t inner_connections = 4;
+
+// A report is not repeated: the leader makes calls without a result itself.
+constexpr milliseconds report_timeout{600};
 
 // Job bodies have a few kilobytes; the site's configuration allows up to
 // 256 KiB.
 constexpr std::uint64_t max_request_body_bytes = 262144;
 
+// A report lists the runs of up to a few hundred servers.
+constexpr std::uint64_t max_inner_body_bytes = std::uint64_t{4} * 1024 * 1024;
+
 // A follower collects row changes for this time to save calls to the store.
 constexpr milliseconds watch_batch_delay{150};
 
+// The rows of the VMs change with restarts only.
+constexpr milliseconds member_rows_wait{5000};
+constexpr milliseconds member_rows_batch_delay{500};
+
 // Subtracted from the key revocation bound, for network latency and timer
 // granularity.
 constexpr milliseconds key_revocation_margin{150};
@@ -73,6 +90,18 @@
     void begin_stop();
     void show_metrics(const std::function<void(http_response)>& respond);
 
+    // Calls of other VMs.
+    std::shared_ptr<call_relay> make_call_relay();
+    std::shared_ptr<relayed_servers> make_relayed_servers();
+    void on_inner_call(const http_request& request,
+                       const std::function<void(http_response)>& respond);
+    void send_inner(const std::string& address,
+                    http_request request,
+                    time_point deadline,
+                    std::function<void(const failure& error)> done);
+    void on_member_rows(const std::vector<table_row>& rows);
+    void on_member_row(const table_row_change& change);
+
     const site_settings settings_;
     const std::string file_;
     const site_adapter adapter_;
@@ -84,6 +113,7 @@
     http_client store_long_poll_client_;
     http_client order_client_;
     http_client server_long_poll_client_;
+    http_client inner_client_;
     const adapter_context adapter_context_;
     table store_;
 
@@ -93,11 +123,17 @@
     row_watcher job_rows_;
     leadership leader_;
     job_api job_api_;
+    member_row member_row_;
+    std::shared_ptr<call_relay> call_relay_;
+    // On the leader only.
+    std::shared_ptr<relayed_servers> relayed_servers_;
+    std::unique_ptr<row_watcher> member_rows_;
     std::shared_ptr<dispatcher> dispatcher_;
 
     http_server api_server_;
     http_server ready_server_;
     http_server metrics_server_;
+    http_server inner_server_;
     bool stopping_ = false;
 };
 
@@ -121,6 +157,8 @@
       server_long_poll_client_(host_.traffic(),
                                host_.control(),
                                client_settings(server_long_poll_connections)),
+      inner_client_(
+          host_.traffic(), host_.control(), client_settings(inner_connections)),
       adapter_context_(make_adapter_context()),
       store_(adapter_.make_store(values.store, adapter_context_)),
       deployment_(adapter_.rows), operator_rows_({adapter_.rows.operator_prefix,
@@ -136,6 +174,10 @@
                make_job_api_hooks(),
                deployment_,
                jobs_),
+      member_row_(
+          {values.vm, values.listen.inner, values.zone, values.processor_share},
+          {store_, monotonic_now}),
+      call_relay_(make_call_relay()),
       api_server_(
           host_.traffic(),
           host_.control(),
@@ -153,7 +195,13 @@
           server_settings(values.listen.metrics, max_request_body_bytes),
           [this](const http_request& /*request*/,
                  const std::function<void(http_response)>& respond)
-          { show_metrics(respond); })
+          { show_metrics(respond); }),
+      inner_server_(host_.traffic(),
+                    host_.control(),
+                    server_settings(values.listen.inner, max_inner_body_bytes),
+                    [this](const http_request& request,
+                           const std::function<void(http_response)>& respond)
+                    { on_inner_call(request, respond); })
 {
 }
 
@@ -281,7 +329,7 @@
 {
     dispatcher_hooks hooks;
     hooks.store = store_;
-    hooks.servers = adapter_.make_servers(adapter_context_);
+    hooks.servers = relayed_servers_->api();
     hooks.rows = adapter_.rows;
     hooks.now = monotonic_now;
     hooks.boot_now = suspend_aware_clock::now;
@@ -322,6 +370,20 @@
     job_rows_.restart();
     job_rows_.set_batch_delay(milliseconds(0));
     counters_.set("leads", 1);
+    relayed_servers_ = make_relayed_servers();
+    auto hooks = make_watcher_hooks();
+    hooks.on_all = [this](const std::vector<table_row>& rows)
+    {
+        on_member_rows(rows);
+    };
+    hooks.on_change = [this](const table_row_change& change)
+    {
+        on_member_row(change);
+    };
+    member_rows_ = std::make_unique<row_watcher>(
+        row_watcher_settings{
+            member_rows_prefix, member_rows_wait, member_rows_batch_delay},
+        std::move(hooks));
     dispatcher_ = std::make_shared<dispatcher>(
         settings, make_dispatcher_hooks(), leader_, deployment_, jobs_);
 }
@@ -329,6 +391,8 @@
 void site_vm::on_leadership_lost()
 {
     dispatcher_.reset();
+    relayed_servers_.reset();
+    member_rows_.reset();
     job_rows_.set_batch_delay(watch_batch_delay);
     counters_.set("leads", 0);
 }
@@ -339,17 +403,134 @@
     job_rows_.tick();
     leader_.tick();
     job_api_.tick();
-    // Keeps the dispatcher alive: its tick may replace it.
+    member_row_.tick();
+    call_relay_->tick();
+    if (member_rows_)
+    {
+        member_rows_->tick();
+    }
+    // Keeps these alive: their ticks may replace them.
+    if (const auto current = relayed_servers_)
+    {
+        current->tick();
+    }
     if (const auto current = dispatcher_)
     {
         current->tick();
     }
 }
 
+std::shared_ptr<call_relay> site_vm::make_call_relay()
+{
+    call_relay_hooks hooks;
+    hooks.servers = adapter_.make_servers(adapter_context_);
+    hooks.now = monotonic_now;
+    hooks.boot_now = suspend_aware_clock::now;
+    hooks.unix_now = unix_now;
+    hooks.count = adapter_context_.count;
+    hooks.send = [this](const std::string& address, const relay_report& report)
+    {
+        send_inner(address,
+                   make_relay_request(report),
+                   monotonic_now() + report_timeout,
+                   [](const failure&) {});
+    };
+    return std::make_shared<call_relay>(settings_.vm, std::move(hooks));
+}
+
+std::shared_ptr<relayed_servers> site_vm::make_relayed_servers()
+{
+    relayed_servers_hooks hooks;
+    hooks.direct = adapter_.make_servers(adapter_context_);
+    hooks.now = monotonic_now;
+    hooks.unix_now = unix_now;
+    hooks.post = [this](std::function<void()> action)
+    {
+        asio::post(host_.control(), std::move(action));
+    };
+    hooks.count = adapter_context_.count;
+    hooks.send = [this](const std::string& address,
+                        const relay_batch& batch,
+                        time_point deadline,
+                        std::function<void(const failure&)> done)
+    {
+        send_inner(
+            address, make_relay_request(batch), deadline, std::move(done));
+    };
+    return std::make_shared<relayed_servers>(
+        relayed_servers_settings{
+            settings_.vm,
+            settings_.listen.inner,
+            leader_.epoch(),
+            static_cast<std::size_t>(settings_.min_servers_for_relays)},
+        std::move(hooks));
+}
+
+void site_vm::send_inner(const std::string& address,
+                         http_request request,
+                         time_point deadline,
+                         std::function<void(const failure& error)> done)
+{
+    inner_client_.send_function()(
+        address,
+        std::move(request),
+        deadline,
+        [done = std::move(done)](const http_reply& reply)
+        {
+            failure why;
+            json_reply_of(reply, why);
+            done(why);
+        });
+}
+
+void site_vm::on_inner_call(const http_request& request,
+                            const std::function<void(http_response)>& respond)
+{
+    // Keeps it alive: a result may end the leadership.
+    const auto leader_calls = relayed_servers_;
+    respond(json_response(
+        handle_relay_request(request, *call_relay_, leader_calls)));
+}
+
+void site_vm::on_member_rows(const std::vector<table_row>& rows)
+{
+    std::vector<relay_member> members;
+    for (const auto& row : rows)
+    {
+        failure why;
+        if (auto member = parse_relay_member(row.value, why))
+        {
+            members.push_back(std::move(*member));
+        }
+    }
+    relayed_servers_->set_members(members);
+}
+
+void site_vm::on_member_row(const table_row_change& change)
+{
+    failure why;
+    if (change.removed)
+    {
+        relayed_servers_->remove_member(
+            change.row.key.substr(member_rows_prefix.size()));
+    }
+    else if (const auto member = parse_relay_member(change.row.value, why))
+    {
+        relayed_servers_->add_member(*member);
+    }
+    else
+    {
+        log_line(log_level::warning,
+                 "relay",
+                 "The row of a VM cannot be decoded.",
+                 {{"row", change.row.key}, {"reason", why.reason}});
+    }
+}
+
 bool site_vm::run(failure& why)
 {
     if (!api_server_.listen(why) || !ready_server_.listen(why) ||
-        !metrics_server_.listen(why))
+        !metrics_server_.listen(why) || !inner_server_.listen(why))
     {
         return false;
     }
@@ -403,10 +584,14 @@
     stopping_ = true;
     leader_.resign();
     on_leadership_lost();
+    call_relay_->stop_accepting();
     host_.run_after(std::min(drain_delay, settings_.bounds.stop_timeout / 2),
-                    [this] {
-                        host_.stop_servers(
-                            {&api_server_, &ready_server_, &metrics_server_});
+                    [this]
+                    {
+                        host_.stop_servers({&api_server_,
+                                            &ready_server_,
+                                            &metrics_server_,
+                                            &inner_server_});
                     });
 }
 
@@ -415,6 +600,10 @@
     counters_.set("log_lines_dropped",
                   static_cast<double>(dropped_log_lines()));
     counters_.set("config_version", static_cast<double>(deployment_.version()));
+    counters_.set("relays_in_use",
+                  relayed_servers_
+                      ? static_cast<double>(relayed_servers_->relays_in_use())
+                      : 0);
     counters_.set("jobs_known", static_cast<double>(jobs_.all().size()));
     if (const auto confirmed = operator_rows_.confirmed_at())
     {
--- a/tests/domain_simulation.cpp
+++ b/tests/domain_simulation.cpp
@@ -103,6 +103,13 @@
     }
 }
 
+// A server shortens a lease that is longer than its maximum, as of an order for
+// an earlier incarnation, whose clock was ahead.
+void fake_server::extend_lease(server_clock until, server_clock at)
+{
+    lease_until = std::max(lease_until, std::min(until, at + max_lease_ms));
+}
+
 bool fake_server::fenced(const server_target& to)
 {
     if (to.epoch < epoch)
@@ -129,10 +136,7 @@
         reply.outcome = order_outcome::lease_expired;
         return reply;
     }
-    lease_until =
-        std::max(lease_until,
-                 std::min<server_clock>(order.lease_until,
-                                        clock(sim.now) + max_lease_ms));
+    extend_lease(order.lease_until, clock(sim.now));
     reply.outcome = order_outcome::done;
     if (active.contains(order.run))
     {
@@ -198,7 +202,7 @@
     reply.order.outcome = order_outcome::done;
     if (order.lease_until)
     {
-        lease_until = std::max(lease_until, *order.lease_until);
+        extend_lease(*order.lease_until, clock(sim.now));
     }
     for (const auto& item : ended)
     {
@@ -264,6 +268,8 @@
     up = false;
     ++vm_incarnation;
     scheduler.reset();
+    relayed.reset();
+    relay.reset();
     api.reset();
     leader.reset();
     job_rows.reset();
@@ -306,6 +312,7 @@
         row_watcher_settings{
             job_rows_prefix, milliseconds(200), milliseconds(0)},
         job_hooks);
+    start_relay();
     start_leadership();
     start_job_api();
 }
@@ -327,6 +334,7 @@
     hooks.on_leadership_lost = [this](const std::string&)
     {
         scheduler.reset();
+        relayed.reset();
     };
     leader = std::make_unique<leadership>(
         leadership_settings{name, sim.random(), processor_share}, hooks);
@@ -371,7 +379,7 @@
 {
     dispatcher_hooks hooks;
     hooks.store = make_store();
-    hooks.servers = make_servers();
+    hooks.servers = sim.use_relays ? make_relayed_servers() : make_servers();
     hooks.rows = rows;
     hooks.now = watcher_hooks().now;
     hooks.boot_now = watcher_hooks().boot_now;
@@ -428,6 +436,11 @@
     job_rows->tick();
     leader->tick();
     api->tick();
+    relay->tick();
+    if (const auto current = relayed)
+    {
+        current->tick();
+    }
     if (const auto current = scheduler)
     {
         current->tick();
@@ -716,6 +729,138 @@
     return server_calls;
 }
 
+namespace
+{
+
+// Delivers a message to another VM; `done` is called at the sender with whether
+// it was accepted.
+void send_to_vm(fake_vm& from,
+                const std::string& address,
+                time_point deadline,
+                const std::function<bool(fake_vm& receiver)>& handle,
+                const std::function<void(const failure&)>& done)
+{
+    auto& sim = from.sim;
+    const auto found = std::find_if(sim.vms.begin(),
+                                    sim.vms.end(),
+                                    [&address](const auto& vm)
+                                    { return vm->name == address; });
+    const bool down = found == sim.vms.end() || !(*found)->up ||
+                      (*found)->inner_link.partitioned;
+    auto* receiver = down ? nullptr : found->get();
+    auto reply = std::make_shared<std::optional<bool>>();
+    send_over_link<bool>(
+        sim,
+        from.inner_link,
+        down,
+        deadline,
+        [receiver,
+         handle,
+         reply,
+         incarnation = down ? 0 : receiver->vm_incarnation]
+        {
+            // A frozen VM reads the message when it wakes up; the sender does
+            // not wait for that.
+            if (receiver->frozen)
+            {
+                deliver(*receiver,
+                        incarnation,
+                        [receiver, handle] { handle(*receiver); });
+                return false;
+            }
+            return receiver->up && receiver->vm_incarnation == incarnation &&
+                   handle(*receiver);
+        },
+        [&from, sender_incarnation = from.vm_incarnation, done](
+            const bool* accepted)
+        {
+            deliver(from,
+                    sender_incarnation,
+                    [done, ok = accepted != nullptr && *accepted] {
+                        done(ok ? failure{}
+                                : failure{result_code::answer_lost,
+                                          "not accepted"});
+                    });
+        });
+}
+
+} // namespace
+
+void fake_vm::start_relay()
+{
+    call_relay_hooks hooks;
+    hooks.servers = make_servers();
+    hooks.now = watcher_hooks().now;
+    hooks.boot_now = watcher_hooks().boot_now;
+    hooks.unix_now = [this]
+    {
+        return sim.now;
+    };
+    hooks.count = [](const std::string&, double) {
+    };
+    hooks.send = [this](const std::string& address, const relay_report& report)
+    {
+        send_to_vm(
+            *this,
+            address,
+            time_point(milliseconds(sim.now) - frozen_for + milliseconds(600)),
+            [request = make_relay_request(report)](fake_vm& receiver)
+            {
+                const auto current = receiver.relayed;
+                return !handle_relay_request(request, *receiver.relay, current);
+            },
+            [](const failure&) {});
+    };
+    relay = std::make_shared<call_relay>(name, std::move(hooks));
+}
+
+server_api fake_vm::make_relayed_servers()
+{
+    relayed_servers_hooks hooks;
+    hooks.direct = make_servers();
+    hooks.now = watcher_hooks().now;
+    hooks.unix_now = [this]
+    {
+        return sim.now;
+    };
+    hooks.post = [this](std::function<void()> action)
+    {
+        sim.at(sim.now,
+               [this,
+                action = std::move(action),
+                sender_incarnation = vm_incarnation]
+               { deliver(*this, sender_incarnation, action); });
+    };
+    hooks.count = [](const std::string&, double) {
+    };
+    hooks.send = [this](const std::string& address,
+                        const relay_batch& batch,
+                        time_point deadline,
+                        const std::function<void(const failure&)>& done)
+    {
+        send_to_vm(
+            *this,
+            address,
+            deadline,
+            [request = make_relay_request(batch)](fake_vm& receiver)
+            {
+                const auto current = receiver.relayed;
+                return !handle_relay_request(request, *receiver.relay, current);
+            },
+            done);
+    };
+    relayed = std::make_shared<relayed_servers>(
+        relayed_servers_settings{name, name, leader->epoch(), 1},
+        std::move(hooks));
+    std::vector<relay_member> members;
+    for (const auto& vm : sim.vms)
+    {
+        members.push_back({vm->name, vm->name, "zone-a", vm->processor_share});
+    }
+    relayed->set_members(members);
+    return relayed->api();
+}
+
 // Simulation.
 
 domain_simulation::domain_simulation(std::uint64_t seed, int vm_count)
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -7,6 +7,7 @@
 #include "domain/job_api.hpp"
 #include "domain/leadership.hpp"
 #include "domain/row_watcher.hpp"
+#include "relay/relay_http.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -97,6 +98,7 @@
     // True if a call with a higher epoch was received before; otherwise records
     // the epoch of the call.
     bool fenced(const server_target& to);
+    void extend_lease(server_clock until, server_clock at);
 };
 
 // One entry VM.
@@ -120,6 +122,8 @@
     milliseconds frozen_for{0};
     link_faults store_link;
     link_faults server_link;
+    // Calls to other VMs.
+    link_faults inner_link;
     // Changes with each kill; calls of earlier incarnations are dropped.
     std::uint64_t vm_incarnation = 0;
     // Takes effect at the next start.
@@ -132,6 +136,8 @@
     std::unique_ptr<row_watcher> job_rows;
     std::unique_ptr<leadership> leader;
     std::unique_ptr<job_api> api;
+    std::shared_ptr<call_relay> relay;
+    std::shared_ptr<relayed_servers> relayed;
     std::shared_ptr<dispatcher> scheduler;
 
 private:
@@ -140,6 +146,8 @@
     table make_store();
     void add_writes(table& store);
     server_api make_servers();
+    void start_relay();
+    server_api make_relayed_servers();
     row_watcher_hooks watcher_hooks();
     void on_row(const table_row_change& change);
     void on_elected();
@@ -170,6 +178,8 @@
     std::map<std::string, milliseconds> task_times;
     std::vector<std::unique_ptr<fake_vm>> vms;
     deployment_config config;
+    // The leader makes calls to servers through the other VMs.
+    bool use_relays = false;
     violation_list violations;
 
     // Tasks with a successful end that a scheduler has acknowledged.
--- a/tests/domain_soak_test.cpp
+++ b/tests/domain_soak_test.cpp
@@ -28,6 +28,8 @@
 // Number of fault kinds. The older seeds were recorded with the first 12 only.
 constexpr std::size_t original_fault_kinds = 12;
 constexpr std::size_t all_fault_kinds = 15;
+// With those of the calls between VMs, which relays use.
+constexpr std::size_t relay_fault_kinds = 18;
 
 class soak_run
 {
@@ -35,12 +37,13 @@
     explicit soak_run(std::uint64_t seed, std::size_t kinds = all_fault_kinds)
         : sim_(seed, vm_count), fault_kinds_(kinds)
     {
+        sim_.use_relays = kinds == relay_fault_kinds;
         for (int i = 0; i < server_count; ++i)
         {
             auto id = std::string("s");
             id += std::to_string(i);
             sim_.add_server(id, i < 3 ? "r1" : "r2");
-            if (kinds == all_fault_kinds)
+            if (kinds >= all_fault_kinds)
             {
                 // Longer than a takeover, so that tasks outlive partitions.
                 sim_.servers.at(id).task_time = milliseconds(2000 + i * 2500);
@@ -160,8 +163,11 @@
             &soak_run::kill_all_vms,
             &soak_run::replace_server,
             &soak_run::partition_zone,
+            &soak_run::partition_vm_from_vms,
+            &soak_run::lose_calls_of_vm,
+            &soak_run::delay_calls_of_vm,
         };
-        CHECK_EQUAL(all_fault_kinds, kinds.size());
+        CHECK_EQUAL(relay_fault_kinds, kinds.size());
         const auto kind = static_cast<std::size_t>(
             pick(static_cast<std::int64_t>(fault_kinds_)));
         (this->*kinds[kind])();
@@ -298,12 +304,12 @@
                 [this, &server]
                 {
                     server.partitioned = false;
-                    if (server.up && fault_kinds_ == all_fault_kinds)
+                    if (server.up && fault_kinds_ >= all_fault_kinds)
                     {
                         sim_.put_server(server);
                     }
                 });
-        if (fault_kinds_ == all_fault_kinds)
+        if (fault_kinds_ >= all_fault_kinds)
         {
             sim_.at(sim_.now + entry_expiry_ms,
                     [this, &server]
@@ -368,6 +374,29 @@
                 });
     }
 
+    void partition_vm_from_vms()
+    {
+        auto& vm = pick_vm();
+        vm.inner_link.partitioned = true;
+        schedule_recovery([&vm] { vm.inner_link.partitioned = false; });
+    }
+
+    void lose_calls_of_vm()
+    {
+        auto& vm = pick_vm();
+        vm.inner_link.reply_loss_rate = 0.4;
+        schedule_recovery([&vm] { vm.inner_link.reply_loss_rate = 0; });
+    }
+
+    // Batches and reports arrive late and without a reply.
+    void delay_calls_of_vm()
+    {
+        auto& vm = pick_vm();
+        vm.inner_link.execution_delay = milliseconds(500 + pick(6000));
+        sim_.at(sim_.now + 1000,
+                [&vm] { vm.inner_link.execution_delay = milliseconds(0); });
+    }
+
     // Removes a server permanently and adds a new one.
     void replace_server()
     {
@@ -447,6 +476,13 @@
     }
 }
 
+// Seeds that failed with relays. 1747: a delayed batch reached the next
+// incarnation of a server, after the run of its order had been dropped.
+TEST(domain_soak, delayed_batch_to_other_incarnation)
+{
+    check_seed(1747, relay_fault_kinds);
+}
+
 // Guards against failures under concurrent faults. POPLARRAMP_SOAK_FIRST (first
 // seed) and POPLARRAMP_SOAK_SEEDS (number of seeds) choose other seeds.
 TEST(domain_soak, random_faults)
@@ -458,3 +494,15 @@
         check_seed(seed);
     }
 }
+
+// Guards against failures of the calls that the leader makes through other VMs,
+// which are killed, suspended, cut off or late.
+TEST(domain_soak, random_faults_with_relays)
+{
+    const auto first = number_from_environment("POPLARRAMP_SOAK_FIRST", 1);
+    const auto seeds = number_from_environment("POPLARRAMP_SOAK_SEEDS", 60);
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed)
+    {
+        check_seed(seed, relay_fault_kinds);
+    }
+}
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -93,7 +93,7 @@
             settings_.program,
             "vm-" + std::to_string(i),
             settings_.folder,
-            vm_ports{free_port(), free_port(), free_port()},
+            vm_ports{free_port(), free_port(), free_port(), free_port()},
             std::make_unique<proxy>(control_, site_.store_port()));
         vms_.push_back(std::move(vm));
     }
--- a/tests/soak/vm_process.cpp
+++ b/tests/soak/vm_process.cpp
@@ -55,6 +55,9 @@
     json["listen"]["callers"] = loopback_address(ports_.callers);
     json["listen"]["ready"] = loopback_address(ports_.ready);
     json["listen"]["metrics"] = loopback_address(ports_.metrics);
+    json["listen"]["inner"] = loopback_address(ports_.inner);
+    // The few servers of a soak are called through relays too.
+    json["relays"]["min_servers"] = 1;
     json["store"] = loopback_address(store_link_->port());
     json["regions"]["zone-a"] = "region-a";
     json["processor_share"] = 1.0;
--- a/tests/soak/vm_process.hpp
+++ b/tests/soak/vm_process.hpp
@@ -18,6 +18,7 @@
     std::uint16_t callers = 0;
     std::uint16_t ready = 0;
     std::uint16_t metrics = 0;
+    std::uint16_t inner = 0;
 };
 
 // Not thread safe. Kills the process when it is destroyed.
