--- a/src/policy/capacity_search.cpp
+++ b/src/policy/capacity_search.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <map>
 #include <queue>
-#include <string>
 #include <tuple>
 
 namespace poplarramp
@@ -113,7 +112,7 @@
 
     // Adds the cheapest groups until one more task fits, then removes those
     // that turned out to be needless, the most expensive first.
-    std::optional<extension> extend(std::size_t index) const
+    std::optional<extension> extend(std::size_t index)
     {
         const auto& server = servers_[index];
         const auto found = counts_.find(index);
@@ -127,7 +126,8 @@
         {
             available -= need_;
         }
-        std::vector<std::pair<double, std::size_t>> options;
+        auto& options = options_;
+        options.clear();
         for (const auto group : server.groups)
         {
             if (groups_[group].stopping || is_chosen(group))
@@ -182,6 +182,8 @@
     capacity_claim claim_;
     // Tasks on each server.
     std::map<std::size_t, int> counts_;
+    // Groups that could end on a server; kept to reuse its memory.
+    std::vector<std::pair<double, std::size_t>> options_;
 };
 
 // Indices of the servers that could take a task if all their runs ended.
@@ -235,13 +237,8 @@
     capacity_fill filler(request, servers, groups, cost);
     if (request.step->gang && request.step->same_rack)
     {
-        std::map<std::string, std::vector<std::size_t>> racks;
-        for (const auto server : usable)
-        {
-            racks[servers[server].rack].push_back(server);
-        }
         std::optional<capacity_claim> best;
-        for (const auto& [rack, in_rack] : racks)
+        for (const auto& in_rack : by_rack(servers, usable))
         {
             if (!could_hold_all(request, servers, in_rack))
             {
--- a/src/policy/step_placement.cpp
+++ b/src/policy/step_placement.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
 
 namespace poplarramp
 {
@@ -68,11 +69,23 @@
     return options;
 }
 
-// Uses the options in their order until all tasks are placed.
-placement_result fill(const std::vector<placement_option>& options, int tasks)
+// Uses the options in order of slowdown, then of the fewest accelerators left
+// over, so that large shapes remain free elsewhere, until all tasks are placed.
+placement_result fill(std::span<placement_option> options, int tasks)
 {
+    const auto needed =
+        std::min(options.size(), static_cast<std::size_t>(std::max(tasks, 0)));
+    std::partial_sort(
+        options.begin(),
+        options.begin() + static_cast<std::ptrdiff_t>(needed),
+        options.end(),
+        [](const placement_option& a, const placement_option& b)
+        {
+            return std::tuple(a.slowdown, a.left, -a.count, a.server) <
+                   std::tuple(b.slowdown, b.left, -b.count, b.server);
+        });
     placement_result result;
-    for (const auto& item : options)
+    for (const auto& item : options.first(needed))
     {
         if (result.tasks == tasks)
         {
@@ -86,19 +99,6 @@
     return result;
 }
 
-// Orders by slowdown, then by the fewest accelerators left over, so that large
-// shapes remain free elsewhere.
-void sort_options(std::vector<placement_option>& options)
-{
-    std::sort(options.begin(),
-              options.end(),
-              [](const placement_option& a, const placement_option& b)
-              {
-                  return std::tuple(a.slowdown, a.left, -a.count) <
-                         std::tuple(b.slowdown, b.left, -b.count);
-              });
-}
-
 // Places the whole gang in the fastest rack. Among equal racks, an urgent gang
 // prefers those kept for urgent steps, then the one that fits the fewest tasks.
 std::optional<placement_result>
@@ -106,27 +106,32 @@
               std::span<const candidate_server> servers,
               const std::vector<placement_option>& options)
 {
-    std::map<std::string, std::vector<placement_option>> racks;
+    std::vector<std::size_t> usable;
+    usable.reserve(options.size());
+    std::vector<const placement_option*> option_of(servers.size(), nullptr);
     for (const auto& item : options)
     {
-        racks[servers[item.server].rack].push_back(item);
+        usable.push_back(item.server);
+        option_of[item.server] = &item;
     }
     std::optional<placement_result> best;
     std::tuple<double, bool, int> best_rank;
-    for (auto& [rack, in_rack] : racks)
+    std::vector<placement_option> in_rack;
+    for (const auto& rack : by_rack(servers, usable))
     {
+        in_rack.clear();
         int total = 0;
-        for (const auto& item : in_rack)
+        for (const auto server : rack)
         {
-            total += item.count;
+            in_rack.push_back(*option_of[server]);
+            total += in_rack.back().count;
         }
         if (total < request.tasks)
         {
             continue;
         }
-        sort_options(in_rack);
         auto result = fill(in_rack, request.tasks);
-        const bool kept = servers[in_rack.front().server].reserved_for_urgent;
+        const bool kept = servers[rack.front()].reserved_for_urgent;
         const std::tuple rank{result.slowdown, !kept, total};
         if (!best || rank < best_rank)
         {
@@ -150,7 +155,6 @@
             return in_rack;
         }
     }
-    sort_options(options);
     auto result = fill(options, request.tasks);
     if (result.tasks < request.tasks)
     {
@@ -198,6 +202,25 @@
     return server.slowdown * (remote ? request.remote_slowdown : 1);
 }
 
+std::vector<std::vector<std::size_t>>
+by_rack(std::span<const candidate_server> servers,
+        std::span<const std::size_t> indices)
+{
+    std::unordered_map<std::string_view, std::size_t> numbers;
+    std::vector<std::vector<std::size_t>> racks;
+    for (const auto index : indices)
+    {
+        const auto [item, added] =
+            numbers.emplace(servers[index].rack, racks.size());
+        if (added)
+        {
+            racks.emplace_back();
+        }
+        racks[item->second].push_back(index);
+    }
+    return racks;
+}
+
 int tasks_allowed_on(const placement_request& request, std::size_t server)
 {
     const int limit = request.step->max_per_server;
@@ -220,7 +243,6 @@
     {
         return place_gang(request, servers, std::move(options));
     }
-    sort_options(options);
     auto result = fill(options, request.tasks);
     return result.tasks > 0 ? std::optional(std::move(result)) : std::nullopt;
 }
--- a/src/policy/step_placement.hpp
+++ b/src/policy/step_placement.hpp
@@ -85,6 +85,12 @@
 double slowdown_on(const placement_request& request,
                    const candidate_server& server);
 
+// Indices of the servers by rack, the racks in the order of their first server.
+// Thread safe.
+std::vector<std::vector<std::size_t>>
+by_rack(std::span<const candidate_server> servers,
+        std::span<const std::size_t> indices);
+
 // How many more tasks the limit of tasks per server allows on the server with
 // this index. Thread safe.
 int tasks_allowed_on(const placement_request& request, std::size_t server);
--- a/src/policy/urgent_headroom.cpp
+++ b/src/policy/urgent_headroom.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
+#include <numeric>
 #include <tuple>
 #include <vector>
 
@@ -22,30 +22,22 @@
 // of runs that have just started, more leave servers idle.
 constexpr double kept_deviations = 1.5;
 
-struct rack_use
+// Accelerators that are used by other than urgent groups, less those used by
+// urgent ones.
+std::int64_t excess_use(std::span<const candidate_server> servers,
+                        std::span<const run_group> groups,
+                        const std::vector<std::size_t>& rack)
 {
-    std::vector<std::size_t> servers;
-    std::int64_t urgent = 0;
-    std::int64_t other = 0;
-};
-
-std::map<std::string, rack_use>
-use_of_racks(std::span<const candidate_server> servers,
-             std::span<const run_group> groups)
-{
-    std::map<std::string, rack_use> racks;
-    for (std::size_t i = 0; i < servers.size(); ++i)
+    std::int64_t excess = 0;
+    for (const auto server : rack)
     {
-        auto& rack = racks[servers[i].rack];
-        rack.servers.push_back(i);
-        for (const auto index : servers[i].groups)
+        for (const auto index : servers[server].groups)
         {
-            const auto& group = groups[index];
-            auto& use = group.priority == 0 ? rack.urgent : rack.other;
-            use += group.need.accelerators;
+            const auto used = groups[index].need.accelerators;
+            excess += groups[index].priority == 0 ? -used : used;
         }
     }
-    return racks;
+    return excess;
 }
 
 } // namespace
@@ -76,26 +68,29 @@
 void urgent_headroom::keep(std::span<candidate_server> servers,
                            std::span<const run_group> groups)
 {
-    const auto racks = use_of_racks(servers, groups);
-    std::vector<std::tuple<bool, std::int64_t, std::string>> order;
+    std::vector<std::size_t> all(servers.size());
+    std::iota(all.begin(), all.end(), std::size_t{0});
+    const auto racks = by_rack(servers, all);
+    std::vector<std::tuple<bool, std::int64_t, std::size_t>> order;
     order.reserve(racks.size());
-    for (const auto& [name, rack] : racks)
+    for (std::size_t i = 0; i < racks.size(); ++i)
     {
-        order.emplace_back(
-            !kept_racks_.contains(name), rack.other - rack.urgent, name);
+        order.emplace_back(!kept_racks_.contains(servers[racks[i][0]].rack),
+                           excess_use(servers, groups, racks[i]),
+                           i);
     }
     std::sort(order.begin(), order.end());
     kept_racks_.clear();
     auto missing = target();
-    for (const auto& [is_new, use, name] : order)
+    for (const auto& [is_new, excess, rack] : order)
     {
-        for (const auto index : racks.at(name).servers)
+        for (const auto index : racks[rack])
         {
             if (missing <= 0)
             {
                 return;
             }
-            kept_racks_.insert(name);
+            kept_racks_.insert(servers[index].rack);
             servers[index].reserved_for_urgent = true;
             missing -= servers[index].capacity.accelerators;
         }
