Take a start as unknown if a relay may have made it

A zone was cut off while a batch was on its way; the relay in that zone had made the starts, the batch timed out, and the leader repeated the calls directly. These could not connect, which is reported as "not sent", so that the runs were dropped and the tasks started elsewhere.

Change: after a repeated start, any refusal is reported as unknown, unless the batch was certainly not accepted; the run is then settled by what its server lists.

Ruled out: a late order (the start reached its server within 0.1 s) and a second leader (epoch 1 throughout).

Result: relayed_servers, start_through_silent_relay_is_unknown and row_watcher, silent_connection_is_noticed_soon failed before.

--- a/src/domain/row_watcher.cpp
+++ b/src/domain/row_watcher.cpp
@@ -17,7 +17,10 @@
 constexpr milliseconds scan_timeout{2000};
 
 // Added to the wait for a change, for a slow store.
-constexpr milliseconds extra_watch_timeout{1000};
+constexpr milliseconds extra_watch_timeout{500};
+// For some time after a failure: the store may be slow.
+constexpr milliseconds extra_slow_watch_timeout{1000};
+constexpr milliseconds slow_time{10000};
 
 constexpr backoff_settings retry_delays{milliseconds(100), milliseconds(800)};
 
@@ -42,7 +45,9 @@
     const row_watcher_settings settings;
     const row_watcher_hooks hooks;
     backoff retry;
+    milliseconds wait = settings.wait;
     milliseconds batch_delay = settings.batch_delay;
+    time_point slow_until{};
     time_point next_call{};
     // Replies to calls of an earlier generation are ignored.
     std::uint64_t generation = 0;
@@ -113,10 +118,12 @@
 {
     in_flight = true;
     const auto sent = hooks.boot_now();
+    const auto extra = hooks.now() < slow_until ? extra_slow_watch_timeout
+                                                : extra_watch_timeout;
     hooks.store.watch(settings.prefix,
                       version,
-                      settings.wait,
-                      hooks.now() + settings.wait + extra_watch_timeout,
+                      wait,
+                      hooks.now() + wait + extra,
                       [self = shared_from_this(), sent, number = generation](
                           const table_watch_reply& reply)
                       {
@@ -173,6 +180,7 @@
                   {"version", std::to_string(version)}});
     }
     connected = false;
+    slow_until = hooks.now() + slow_time;
     next_call = hooks.now() + retry.next(hooks.random());
 }
 
@@ -236,8 +244,9 @@
     self.next_call = self.hooks.now();
 }
 
-void row_watcher::set_batch_delay(milliseconds batch_delay)
+void row_watcher::set_pace(milliseconds wait, milliseconds batch_delay)
 {
+    state_->wait = wait;
     state_->batch_delay = batch_delay;
 }
 
--- a/src/domain/row_watcher.hpp
+++ b/src/domain/row_watcher.hpp
@@ -58,8 +58,8 @@
     // Ignores replies to calls in flight and starts over with a scan.
     void restart();
 
-    // Sets the pause after the next and later replies.
-    void set_batch_delay(milliseconds batch_delay);
+    // Changes these settings for the next and later calls.
+    void set_pace(milliseconds wait, milliseconds batch_delay);
 
     // True if a scan is complete and the changes since it are still available.
     bool loaded() const;
--- a/src/entry/site_vm.cpp
+++ b/src/entry/site_vm.cpp
@@ -53,6 +53,9 @@
 // A follower collects row changes for this time to save calls to the store.
 constexpr milliseconds watch_batch_delay{150};
 
+// The leader polls more often, since a silent connection hides new jobs.
+constexpr milliseconds leader_wait{400};
+
 // The rows of the VMs change with restarts only.
 constexpr milliseconds member_rows_wait{5000};
 constexpr milliseconds member_rows_batch_delay{500};
@@ -368,7 +371,7 @@
     settings.retention = 2 * settings_.bounds.status_retention;
     // A long poll in flight would delay the start of the scheduler.
     job_rows_.restart();
-    job_rows_.set_batch_delay(milliseconds(0));
+    job_rows_.set_pace(leader_wait, milliseconds(0));
     counters_.set("leads", 1);
     relayed_servers_ = make_relayed_servers();
     auto hooks = make_watcher_hooks();
@@ -393,7 +396,7 @@
     dispatcher_.reset();
     relayed_servers_.reset();
     member_rows_.reset();
-    job_rows_.set_batch_delay(watch_batch_delay);
+    job_rows_.set_pace(row_watcher_settings{}.wait, watch_batch_delay);
     counters_.set("leads", 0);
 }
 
--- a/src/relay/relayed_servers.cpp
+++ b/src/relay/relayed_servers.cpp
@@ -1,6 +1,7 @@
 #include "relay/relayed_servers.hpp"
 
 #include "base/log.hpp"
+#include "domain/run_lifecycle.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -199,11 +200,36 @@
     pending_.emplace(id, std::move(item));
 }
 
-// The reply goes to the caller as it is: every call is made once directly.
-void relayed_servers::call_directly(pending_call item)
+void relayed_servers::call_directly(const std::vector<std::uint64_t>& ids,
+                                    bool may_have_run)
+{
+    for (const auto id : ids)
+    {
+        auto item = pending_.extract(id);
+        if (!item.empty())
+        {
+            call_directly(std::move(item.mapped()), may_have_run);
+        }
+    }
+}
+
+void relayed_servers::call_directly(pending_call item, bool may_have_run)
 {
     hooks_.count("relay_calls_repeated", 1);
     auto& call = item.call;
+    if (call.kind == relay_call_kind::start && may_have_run)
+    {
+        // A refusal is about this order only: the one through the relay may
+        // have started the run before.
+        item.order_done = [done = std::move(item.order_done)](order_reply reply)
+        {
+            if (is_refusal(reply.outcome))
+            {
+                reply.outcome = order_outcome::unknown;
+            }
+            done(std::move(reply));
+        };
+    }
     switch (call.kind)
     {
     case relay_call_kind::renew:
@@ -452,6 +478,16 @@
                     { return found->second.in_flight.contains(id); });
     if (error && waited_for)
     {
+        const bool made_no_call = error.code != result_code::timeout &&
+                                  error.code != result_code::answer_lost;
+        if (made_no_call)
+        {
+            for (const auto id : ids)
+            {
+                found->second.in_flight.erase(id);
+            }
+            call_directly(ids, false);
+        }
         on_failed_relay(found->second, error.reason);
     }
 }
@@ -464,27 +500,20 @@
         min_suspicion * (std::int64_t{1} << std::min(failed.failures, 5)));
     ++failed.failures;
     failed.suspect_until = now + suspicion;
-    auto ids = std::exchange(failed.in_flight, {});
-    ids.insert(failed.queued.begin(), failed.queued.end());
-    failed.queued.clear();
+    const auto in_flight = std::exchange(failed.in_flight, {});
+    const auto queued = std::exchange(failed.queued, {});
     hooks_.count("relay_failures", 1);
     log_line(log_level::warning,
              "relay",
              "A relay is not used for a while.",
              {{"relay", failed.member.vm},
               {"reason", std::string(reason)},
-              {"calls", std::to_string(ids.size())},
+              {"calls", std::to_string(in_flight.size() + queued.size())},
               {"ms", std::to_string(suspicion.count())}});
     // Before the calls are repeated, which may choose a relay.
     choose_relays();
-    for (const auto id : ids)
-    {
-        auto item = pending_.extract(id);
-        if (!item.empty())
-        {
-            call_directly(std::move(item.mapped()));
-        }
-    }
+    call_directly(queued, false);
+    call_directly({in_flight.begin(), in_flight.end()}, true);
 }
 
 void relayed_servers::on_report(const relay_report& report)
--- a/src/relay/relayed_servers.hpp
+++ b/src/relay/relayed_servers.hpp
@@ -116,8 +116,6 @@
         std::vector<std::string> relays;
     };
 
-    std::function<void(order_reply)>
-    on_order_reply(std::function<void(order_reply)> done) const;
     void start(server_target to,
                start_order order,
                time_point deadline,
@@ -133,7 +131,10 @@
     // The relay for a call to the server; null: call directly.
     relay* relay_for(const server_target& to);
     void enqueue(relay& by, pending_call item);
-    void call_directly(pending_call item);
+    // `may_have_run`: the relay may have made the call before.
+    void call_directly(pending_call item, bool may_have_run);
+    void call_directly(const std::vector<std::uint64_t>& ids,
+                       bool may_have_run);
     static void finish(const pending_call& item, const renewal_reply& reply);
     void choose_relays();
     void choose_relays_of(const std::string& zone, zone_servers& in_zone);
--- a/tests/domain_simulation.cpp
+++ b/tests/domain_simulation.cpp
@@ -621,6 +621,16 @@
 namespace
 {
 
+order_outcome& outcome_of(order_reply& reply)
+{
+    return reply.outcome;
+}
+
+order_outcome& outcome_of(renewal_reply& reply)
+{
+    return reply.order.outcome;
+}
+
 template <class Reply, class Handle>
 void call_server(fake_vm& vm,
                  const server_target& to,
@@ -639,6 +649,11 @@
                       found->second.partitioned ||
                       (found->second.only_reachable_from != nullptr &&
                        found->second.only_reachable_from != &vm);
+    if (vm.server_link.partitioned)
+    {
+        // No connection: the call was certainly not sent.
+        outcome_of(lost) = order_outcome::not_sent;
+    }
     const auto id = found == sim.servers.end() ? "" : found->first;
     const auto incarnation =
         found == sim.servers.end() ? 0 : found->second.entry.incarnation;
--- a/tests/domain_soak_test.cpp
+++ b/tests/domain_soak_test.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t original_fault_kinds = 12;
 constexpr std::size_t all_fault_kinds = 15;
 // With those of the calls between VMs, which relays use.
-constexpr std::size_t relay_fault_kinds = 18;
+constexpr std::size_t relay_fault_kinds = 19;
 
 class soak_run
 {
@@ -166,6 +166,7 @@
             &soak_run::partition_vm_from_vms,
             &soak_run::lose_calls_of_vm,
             &soak_run::delay_calls_of_vm,
+            &soak_run::cut_off_zone_of_vm,
         };
         CHECK_EQUAL(relay_fault_kinds, kinds.size());
         const auto kind = static_cast<std::size_t>(
@@ -381,6 +382,20 @@
         schedule_recovery([&vm] { vm.inner_link.partitioned = false; });
     }
 
+    // The VM keeps its way to the store only.
+    void cut_off_zone_of_vm()
+    {
+        auto& vm = pick_vm();
+        vm.inner_link.partitioned = true;
+        vm.server_link.partitioned = true;
+        schedule_recovery(
+            [&vm]
+            {
+                vm.inner_link.partitioned = false;
+                vm.server_link.partitioned = false;
+            });
+    }
+
     void lose_calls_of_vm()
     {
         auto& vm = pick_vm();
--- a/tests/domain_units_test.cpp
+++ b/tests/domain_units_test.cpp
@@ -506,3 +506,64 @@
     CHECK(watcher.loaded());
     CHECK(watcher.confirmed_at() == boot_time(milliseconds(1000)));
 }
+
+// Guards against a leader that does not see new jobs for 1.8 s because its
+// connection to the store is silent: it waits only as long as the store usually
+// takes, and longer for a while after that was too short.
+TEST(row_watcher, silent_connection_is_noticed_soon)
+{
+    std::int64_t now = 1000;
+    std::vector<time_point> deadlines;
+    std::function<void(table_watch_reply)> reply;
+    row_watcher_hooks hooks;
+    hooks.store.scan = [](const std::string&,
+                          const std::string&,
+                          int,
+                          time_point,
+                          const std::function<void(table_scan_reply)>& done)
+    {
+        done({{}, {}, 7, ""});
+    };
+    hooks.store.watch =
+        [&deadlines, &reply](const std::string&,
+                             std::uint64_t,
+                             milliseconds,
+                             time_point deadline,
+                             std::function<void(table_watch_reply)> done)
+    {
+        deadlines.push_back(deadline);
+        reply = std::move(done);
+    };
+    hooks.now = [&now]
+    {
+        return time_point(milliseconds(now));
+    };
+    hooks.boot_now = [&now]
+    {
+        return boot_time(milliseconds(now));
+    };
+    hooks.random = []
+    {
+        return std::uint64_t{0};
+    };
+    hooks.on_all = [](const std::vector<table_row>&) {
+    };
+    row_watcher watcher({"jobs/"}, hooks);
+    watcher.set_pace(milliseconds(400), milliseconds(0));
+    watcher.tick();
+    watcher.tick();
+    CHECK(deadlines.at(0) - time_point(milliseconds(now)) <=
+          milliseconds(1000));
+    table_watch_reply lost;
+    lost.error = {result_code::timeout, "no reply"};
+    reply(lost);
+    now += 2000;
+    watcher.tick();
+    CHECK(deadlines.at(1) - time_point(milliseconds(now)) >=
+          milliseconds(1400));
+    reply({{}, {}, 8});
+    now += 20000;
+    watcher.tick();
+    CHECK(deadlines.at(2) - time_point(milliseconds(now)) <=
+          milliseconds(1000));
+}
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -328,6 +328,7 @@
     std::shared_ptr<relayed_servers> calls;
     server_api api;
     int replies = 0;
+    order_outcome last_outcome = order_outcome::done;
 
     void setup() override
     {
@@ -405,7 +406,11 @@
         api.start(target_of("s1"),
                   {run_of("job", index), "text", 500, ""},
                   time_point(milliseconds(now + timeout_ms)),
-                  [this](const order_reply&) { ++replies; });
+                  [this](const order_reply& reply)
+                  {
+                      ++replies;
+                      last_outcome = reply.outcome;
+                  });
     }
 
     void report(std::uint64_t id, order_outcome outcome = order_outcome::done)
@@ -487,6 +492,32 @@
     CHECK_EQUAL(1, direct.renewals.size());
 }
 
+// Guards against a run that is taken for not started, and started elsewhere,
+// because the leader cannot reach the server: the relay may have started it
+// before it was cut off from the leader.
+TEST(relayed_servers, start_through_silent_relay_is_unknown)
+{
+    renew_all();
+    start(0, 3000);
+    pass(900);
+    CHECK_EQUAL(1, direct.starts.size());
+    direct.start_replies[0]({order_outcome::not_sent, "", std::nullopt});
+    CHECK_EQUAL(1, replies);
+    CHECK(last_outcome == order_outcome::unknown);
+}
+
+// Guards against a slow recovery where it is certain that the relay has made
+// no call.
+TEST(relayed_servers, start_of_a_refused_batch_can_be_refused)
+{
+    renew_all();
+    start(0, 3000);
+    pass(25);
+    sent[0].done({result_code::vm_stopping, "stopping"});
+    direct.start_replies.at(0)({order_outcome::not_sent, "", std::nullopt});
+    CHECK(last_outcome == order_outcome::not_sent);
+}
+
 // Guards against a call that is never answered.
 TEST(relayed_servers, call_without_result_is_reported_by_its_deadline)
 {
