--- a/src/relay/relayed_servers.cpp
+++ b/src/relay/relayed_servers.cpp
@@ -57,8 +57,7 @@
 
 server_api relayed_servers::api()
 {
-    // The dispatcher owns these functions and must not outlive this object's
-    // users; a call after its end is dropped together with the dispatcher.
+    // The functions keep this object alive.
     server_api calls;
     calls.start =
         [self = shared_from_this()](server_target to,
--- a/tests/domain_units_test.cpp
+++ b/tests/domain_units_test.cpp
@@ -464,16 +464,36 @@
     CHECK(!cache.fits(request_for(step)).has_value());
 }
 
-TEST_GROUP(row_watcher){};
+TEST_GROUP(row_watcher)
+{
+    std::int64_t now = 1000;
+    row_watcher_hooks hooks;
+
+    void setup() override
+    {
+        hooks.now = [this]
+        {
+            return time_point(milliseconds(now));
+        };
+        hooks.boot_now = [this]
+        {
+            return boot_time(milliseconds(now));
+        };
+        hooks.random = []
+        {
+            return std::uint64_t{0};
+        };
+        hooks.on_all = [](const std::vector<table_row>&) {
+        };
+    }
+};
 
 // Guards against rows that are taken for current as of the last page of a scan:
 // those of the first page are only known as of its time, so that a key that was
 // revoked meanwhile would be accepted for too long.
 TEST(row_watcher, scan_is_confirmed_as_of_its_first_page)
 {
-    std::int64_t now = 1000;
     std::vector<std::function<void(table_scan_reply)>> pages;
-    row_watcher_hooks hooks;
     hooks.store.scan = [&pages](const std::string&,
                                 const std::string&,
                                 int,
@@ -482,20 +502,6 @@
     {
         pages.push_back(std::move(done));
     };
-    hooks.now = [&now]
-    {
-        return time_point(milliseconds(now));
-    };
-    hooks.boot_now = [&now]
-    {
-        return boot_time(milliseconds(now));
-    };
-    hooks.random = []
-    {
-        return std::uint64_t{0};
-    };
-    hooks.on_all = [](const std::vector<table_row>&) {
-    };
     row_watcher watcher({"op/"}, hooks);
     watcher.tick();
     now = 1500;
@@ -512,10 +518,8 @@
 // takes, and longer for a while after that was too short.
 TEST(row_watcher, silent_connection_is_noticed_soon)
 {
-    std::int64_t now = 1000;
     std::vector<time_point> deadlines;
     std::function<void(table_watch_reply)> reply;
-    row_watcher_hooks hooks;
     hooks.store.scan = [](const std::string&,
                           const std::string&,
                           int,
@@ -534,20 +538,6 @@
         deadlines.push_back(deadline);
         reply = std::move(done);
     };
-    hooks.now = [&now]
-    {
-        return time_point(milliseconds(now));
-    };
-    hooks.boot_now = [&now]
-    {
-        return boot_time(milliseconds(now));
-    };
-    hooks.random = []
-    {
-        return std::uint64_t{0};
-    };
-    hooks.on_all = [](const std::vector<table_row>&) {
-    };
     row_watcher watcher({"jobs/"}, hooks);
     watcher.set_pace(milliseconds(400), milliseconds(0));
     watcher.tick();
