--- /dev/null
+++ b/review/standin/consumers.cpp
@@ -0,0 +1,259 @@
+#include "review/standin/consumers.hpp"
+
+#include "model/codec.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace poplarramp::review
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr milliseconds call_timeout{3000};
+constexpr milliseconds retry_delay{500};
+
+// LOST: for 3 s, with room twice over and under half of the capacity in use.
+constexpr milliseconds lost_time{3000};
+constexpr int room_factor = 2;
+constexpr double half = 0.5;
+constexpr milliseconds question_interval{1000};
+
+std::int64_t unix_now()
+{
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(wall).count();
+}
+
+std::string body_of(const job_order& order)
+{
+    Json::Value spec;
+    spec["work_ms"] = static_cast<Json::Int64>(order.work.time.count());
+    spec["saves"] = order.work.saves;
+    Json::Value step;
+    step["task_count"] = order.tasks;
+    step["cpu"] = static_cast<Json::Int64>(order.need.cpu);
+    step["mem_mb"] = static_cast<Json::Int64>(order.need.memory);
+    step["estimate_ms"] = static_cast<Json::Int64>(order.work.time.count());
+    if (order.need.gpus > 0)
+    {
+        step["gpus"] = static_cast<Json::Int64>(order.need.gpus);
+    }
+    if (order.work.saves)
+    {
+        step["saves_progress"] = true;
+    }
+    Json::Value body;
+    body["task_spec"] = json_text(spec);
+    body["phases"].append(step);
+    if (order.repetitions > 0)
+    {
+        body["repetitions"] = order.repetitions;
+        body["start_at_ms"] =
+            static_cast<Json::Int64>(unix_now() + order.first_due.count());
+        body["interval_ms"] = static_cast<Json::Int64>(order.interval.count());
+    }
+    return json_text(body);
+}
+
+http_request call_of(const job_order& order, const std::string& method)
+{
+    http_request request;
+    request.method = method;
+    request.host = "jobs.example";
+    request.authorization = "Bearer key-of-tenant";
+    request.target = "/q" + std::to_string(order.queue) + "/" + order.id;
+    request.idempotent = method != "POST";
+    return request;
+}
+
+} // namespace
+
+Json::Value desired_state()
+{
+    constexpr int queues = 3;
+    Json::Value state;
+    state["config_version"] = 1;
+    for (int i = 0; i < queues; ++i)
+    {
+        Json::Value route;
+        route["name"] = "r" + std::to_string(i);
+        route["hostname"] = "jobs.example";
+        route["prefix"] = "/q" + std::to_string(i) + "/";
+        route["route_type"] = "unsafe";
+        route["timeout_ms"] = 3000;
+        route["goal_ms"] = 3000;
+        route["priority"] = i;
+        route["backend"] = "svc";
+        route["max_attempts"] = 3;
+        route["stretch"] = 3.0;
+        route["allow_anonymous"] = false;
+        route["allowed_regions"] = Json::Value(Json::arrayValue);
+        state["routes"].append(route);
+    }
+    Json::Value service;
+    service["name"] = "svc";
+    service["enforces_capacity"] = false;
+    service["standby"] = false;
+    state["services"].append(service);
+    Json::Value tenant;
+    tenant["name"] = "tenant";
+    tenant["api_keys"].append("key-of-tenant");
+    tenant["guaranteed"]["gpus"] = 72;
+    tenant["allowed_regions"] = Json::Value(Json::arrayValue);
+    state["tenants"].append(tenant);
+    return state;
+}
+
+consumers::consumers(boost::asio::io_context& traffic,
+                     boost::asio::io_context& control,
+                     std::vector<std::string> fronts,
+                     fleet& workers,
+                     record& log)
+    : client_(traffic, control), fronts_(std::move(fronts)), workers_(workers),
+      log_(log)
+{
+}
+
+void consumers::submit(const job_order& order)
+{
+    jobs_[order.id].order = order;
+    workers_.expect(order.id, order.need);
+    send(order.id, next_front_++);
+}
+
+void consumers::send(const std::string& id, std::size_t front)
+{
+    const auto& order = jobs_.at(id).order;
+    auto request = call_of(order, "POST");
+    request.body = body_of(order);
+    const auto& address = fronts_[front % fronts_.size()];
+    log_.write("consumer",
+               "sends POST " + request.target + " to " + address + ": " +
+                   std::to_string(order.tasks) + " tasks");
+    client_.send_function()(
+        address,
+        std::move(request),
+        monotonic_now() + call_timeout,
+        [this, id, front](const http_reply& reply)
+        {
+            const bool ok = !reply.error && reply.response.status == status_ok;
+            log_.write("consumer",
+                       "POST of " + id + " is answered " +
+                           (reply.error
+                                ? reply.error.reason
+                                : std::to_string(reply.response.status)));
+            jobs_.at(id).accepted = ok;
+            if (!ok)
+            {
+                actions_.emplace(monotonic_now() + retry_delay,
+                                 [this, id, front] { send(id, front + 1); });
+            }
+        });
+}
+
+void consumers::ask_for_all()
+{
+    for (auto& [id, job] : jobs_)
+    {
+        if (!job.accepted)
+        {
+            continue;
+        }
+        client_.send_function()(
+            fronts_[next_front_++ % fronts_.size()],
+            call_of(job.order, "GET"),
+            monotonic_now() + call_timeout,
+            [this, id = id](const http_reply& reply)
+            {
+                failure why;
+                const auto json = parse_json(reply.response.body, why);
+                auto& state = jobs_.at(id).state;
+                state = reply.error ? reply.error.reason
+                        : json      ? (*json)["state"].asString()
+                                    : "";
+                auto line = "GET of " + id + " is answered " +
+                            std::to_string(reply.response.status);
+                line.append(" ").append(state);
+                line += "; starts " + std::to_string(workers_.starts(id)) +
+                        ", running " + std::to_string(workers_.running(id));
+                log_.write("consumer", line);
+            });
+    }
+}
+
+// The turn of a task has come if it was handed in, since the job has one step.
+bool consumers::idle_with_room(const submitted& job) const
+{
+    const bool ended = job.state == "completed" || job.state == "failed" ||
+                       job.state == "cancelled";
+    return job.accepted && !ended && workers_.running(job.order.id) == 0 &&
+           workers_.free_places(job.order.need) >=
+               room_factor * job.order.tasks &&
+           workers_.share_in_use() < half;
+}
+
+void consumers::check_lost(std::function<void(std::vector<std::string>)> done)
+{
+    constexpr milliseconds margin{500};
+    checked_ = std::move(done);
+    check_ends_ = monotonic_now() + lost_time + margin;
+    lost_.clear();
+    for (auto& [id, job] : jobs_)
+    {
+        job.idle_since = {};
+    }
+}
+
+void consumers::tick()
+{
+    const auto now = monotonic_now();
+    while (!actions_.empty() && actions_.begin()->first <= now)
+    {
+        const auto action = std::move(actions_.begin()->second);
+        actions_.erase(actions_.begin());
+        action();
+    }
+    if (!checked_)
+    {
+        return;
+    }
+    if (now >= next_question_)
+    {
+        next_question_ = now + question_interval;
+        ask_for_all();
+    }
+    for (auto& [id, job] : jobs_)
+    {
+        if (!idle_with_room(job))
+        {
+            job.idle_since = {};
+        }
+        else if (job.idle_since == time_point{})
+        {
+            job.idle_since = now;
+        }
+        else if (now - job.idle_since >= lost_time &&
+                 std::find(lost_.begin(), lost_.end(), id) == lost_.end())
+        {
+            lost_.push_back(id);
+        }
+    }
+    if (now >= check_ends_)
+    {
+        std::exchange(checked_, nullptr)(lost_);
+    }
+}
+
+std::size_t consumers::accepted() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(jobs_.begin(),
+                      jobs_.end(),
+                      [](const auto& item) { return item.second.accepted; }));
+}
+
+} // namespace poplarramp::review
--- /dev/null
+++ b/review/standin/scenario.cpp
@@ -0,0 +1,238 @@
+#include "review/standin/scenario.hpp"
+
+#include "review/standin/consumers.hpp"
+#include "review/standin/record.hpp"
+#include "review/standin/store.hpp"
+#include "review/standin/workers.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace poplarramp::review
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr int exit_held = 0;
+constexpr int exit_broken = 1;
+constexpr int exit_not_run = 2;
+
+constexpr milliseconds tick_interval{5};
+
+// SYSTEM.md: traffic starts 10 s after the machines do; `finish_s` is 14.
+constexpr milliseconds lead_time{10000};
+constexpr milliseconds finish_time{14000};
+
+const std::vector<std::string> zones{"nabeul-a", "sfax-a", "kairouan-a"};
+
+fleet_settings deployment()
+{
+    fleet_settings settings;
+    settings.zones = zones;
+    return settings;
+}
+
+// A job id: a kind of job, and a number.
+std::string job_id(unsigned kind, unsigned number)
+{
+    constexpr std::size_t size = 17;
+    std::array<char, size> id{};
+    std::snprintf(id.data(), id.size(), "%08x%08x", kind, number);
+    return id.data();
+}
+
+class scenario
+{
+public:
+    explicit scenario(const scenario_settings& settings)
+        : settings_(settings), log_(settings.record_file),
+          rows_(traffic_, control_, settings.store_port, log_),
+          workers_(traffic_, control_, deployment(), rows_, log_),
+          consumers_(traffic_, control_, settings.fronts, workers_, log_),
+          timer_(control_)
+    {
+        rows_.put("op", "config", desired_state());
+    }
+
+    int run()
+    {
+        const std::map<std::string, void (scenario::*)()> cases{
+            {"row-limit", &scenario::row_limit},
+            {"silent-feeds", &scenario::silent_feeds},
+        };
+        const auto found = cases.find(settings_.name);
+        if (found == cases.end())
+        {
+            throw std::runtime_error("unknown case");
+        }
+        const auto guard = asio::make_work_guard(traffic_);
+        std::thread traffic([this] { traffic_.run(); });
+        (this->*found->second)();
+        tick();
+        control_.run();
+        traffic_.stop();
+        traffic.join();
+        return result_;
+    }
+
+private:
+    void at(milliseconds after_lead, std::function<void()> action)
+    {
+        actions_.emplace(milliseconds(lead_time + after_lead).count(),
+                         std::move(action));
+    }
+
+    void tick()
+    {
+        while (!actions_.empty() && actions_.begin()->first <= log_.now())
+        {
+            const auto action = std::move(actions_.begin()->second);
+            actions_.erase(actions_.begin());
+            action();
+        }
+        workers_.tick();
+        rows_.tick();
+        consumers_.tick();
+        timer_.expires_after(tick_interval);
+        timer_.async_wait([this](boost::system::error_code) { tick(); });
+    }
+
+    // Checks the rule LOST `finish_s` after the end of the traffic.
+    void finish_after(milliseconds traffic)
+    {
+        at(traffic + finish_time - milliseconds(1000),
+           [this] { consumers_.ask_for_all(); });
+        at(traffic + finish_time,
+           [this]
+           {
+               consumers_.check_lost(
+                   [this](const std::vector<std::string>& lost)
+                   { finish(lost); });
+           });
+    }
+
+    void finish(const std::vector<std::string>& lost)
+    {
+        for (const auto& id : lost)
+        {
+            log_.write("check",
+                       "LOST: for 3 s nothing of accepted job " + id +
+                           " runs, though there is room for it twice over");
+        }
+        log_.write("check",
+                   std::to_string(consumers_.accepted()) + " jobs accepted, " +
+                       std::to_string(lost.size()) + " break LOST");
+        result_ = consumers_.accepted() == 0 ? exit_not_run
+                  : lost.empty()             ? exit_held
+                                             : exit_broken;
+        control_.stop();
+    }
+
+    // A job with occurrences that overlap, beside small jobs.
+    void row_limit()
+    {
+        constexpr int small_jobs = 24;
+        constexpr int occurrences = 6;
+        constexpr int tasks = 256;
+        job_order wide;
+        wide.id = job_id(0x10, 0);
+        wide.queue = 2;
+        wide.tasks = tasks;
+        wide.need = {500, 256, 0};
+        wide.work = {milliseconds(60000), true};
+        wide.repetitions = settings_.trouble ? occurrences : 2;
+        wide.first_due = milliseconds(1500);
+        wide.interval = milliseconds(3000);
+        at(milliseconds(500), [this, wide] { consumers_.submit(wide); });
+        for (int i = 0; i < small_jobs; ++i)
+        {
+            job_order small;
+            small.id = job_id(0x20, static_cast<unsigned>(i));
+            small.queue = i % 3;
+            small.tasks = 3;
+            small.need = {1000, 1024, i % 2};
+            small.work = {milliseconds(1500), false};
+            at(milliseconds(1000) * i + milliseconds(700),
+               [this, small] { consumers_.submit(small); });
+        }
+        finish_after(milliseconds(1000) * small_jobs);
+    }
+
+    // Large jobs come at once, each time shortly after the connections that
+    // wait for changes of the desired state have gone silent.
+    void silent_feeds()
+    {
+        constexpr int rounds = 14;
+        constexpr int bursts = 4;
+        constexpr milliseconds interval{5000};
+        constexpr milliseconds burst_interval{200};
+        for (int round = 0; round < rounds; ++round)
+        {
+            const auto start = interval * round + milliseconds(1000);
+            if (settings_.trouble)
+            {
+                at(start, [this] { rows_.silence_feeds("op"); });
+            }
+            for (int burst = 1; burst <= bursts; ++burst)
+            {
+                at(start + burst_interval * burst + milliseconds(100),
+                   [this, number = round * bursts + burst]
+                   { submit_burst(number); });
+            }
+        }
+        finish_after(interval * rounds);
+    }
+
+    // Wide jobs and some with a single task.
+    void submit_burst(int number)
+    {
+        constexpr int wide_jobs = 6;
+        constexpr int single_jobs = 3;
+        constexpr int jobs_per_burst = 16;
+        for (int i = 0; i < wide_jobs + single_jobs; ++i)
+        {
+            const bool wide = i < wide_jobs;
+            job_order order;
+            order.id =
+                job_id(wide ? 0x10 : 0x20,
+                       static_cast<unsigned>(number * jobs_per_burst + i));
+            order.queue = 1;
+            order.tasks = wide ? 256 : 1;
+            order.need = {250, 256, 0};
+            order.work = {milliseconds(2500), false};
+            consumers_.submit(order);
+        }
+    }
+
+    const scenario_settings settings_;
+    asio::io_context traffic_;
+    asio::io_context control_;
+    record log_;
+    store rows_;
+    fleet workers_;
+    consumers consumers_;
+    asio::steady_timer timer_;
+    std::multimap<std::int64_t, std::function<void()>> actions_;
+    int result_ = exit_not_run;
+};
+
+} // namespace
+
+int run_scenario(const scenario_settings& settings)
+{
+    return scenario(settings).run();
+}
+
+} // namespace poplarramp::review
