Review case 3: pending leaves out jobs that have not begun

Cause: job_progress::place marks a job as started when a task is placed, before a start is sent, and job_directory::pending counts queued jobs only.

What the case does: 20 small jobs come each second; seven workers of one rack lose power for good. Each machine is asked for the queue's pending five times a second.

--- a/review/standin/consumers.cpp
+++ b/review/standin/consumers.cpp
@@ -22,6 +22,9 @@
 constexpr double half = 0.5;
 constexpr milliseconds question_interval{1000};
 
+// MIXED: `visible_ms` and 2 s.
+constexpr milliseconds count_age{5000};
+
 std::int64_t unix_now()
 {
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
@@ -146,8 +149,11 @@
                            (reply.error
                                 ? reply.error.reason
                                 : std::to_string(reply.response.status)));
-            jobs_.at(id).accepted = ok;
-            if (!ok)
+            if (ok)
+            {
+                jobs_.at(id).accepted = monotonic_now();
+            }
+            else
             {
                 actions_.emplace(monotonic_now() + retry_delay,
                                  [this, id, front] { send(id, front + 1); });
@@ -185,6 +191,60 @@
     }
 }
 
+std::vector<std::string> consumers::waiting_in(int queue, time_point when) const
+{
+    std::vector<std::string> waiting;
+    for (const auto& [id, job] : jobs_)
+    {
+        if (job.order.queue == queue && job.accepted &&
+            when - *job.accepted > count_age && workers_.starts(id) == 0)
+        {
+            waiting.push_back(id);
+        }
+    }
+    return waiting;
+}
+
+void consumers::ask_for_pending(int queue)
+{
+    const auto waiting = waiting_in(queue, monotonic_now());
+    for (const auto& front : fronts_)
+    {
+        job_order all;
+        all.queue = queue;
+        client_.send_function()(front,
+                                call_of(all, "GET"),
+                                monotonic_now() + call_timeout,
+                                [this, front, waiting](const http_reply& reply)
+                                { on_pending(front, waiting, reply); });
+    }
+}
+
+// Only jobs that had not begun either when the answer came are counted.
+void consumers::on_pending(const std::string& front,
+                           const std::vector<std::string>& waiting,
+                           const http_reply& reply)
+{
+    failure why;
+    const auto json = parse_json(reply.response.body, why);
+    if (reply.error || reply.response.status != status_ok || !json)
+    {
+        return;
+    }
+    const auto pending = (*json)["pending"].asInt64();
+    const auto missing = std::count_if(waiting.begin(),
+                                       waiting.end(),
+                                       [this](const std::string& id)
+                                       { return workers_.starts(id) == 0; });
+    const bool wrong = 2 * pending < missing;
+    wrong_counts_ += wrong ? 1 : 0;
+    log_.write(wrong ? "check" : "consumer",
+               "GET of the queue at " + front + " is answered pending " +
+                   std::to_string(pending) + "; accepted over 5 s ago and " +
+                   "not begun: " + std::to_string(missing) +
+                   (wrong ? ": MIXED" : ""));
+}
+
 // The turn of a task has come if it was handed in, since the job has one step.
 bool consumers::idle_with_room(const submitted& job) const
 {
@@ -250,10 +310,10 @@
 
 std::size_t consumers::accepted() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(jobs_.begin(),
-                      jobs_.end(),
-                      [](const auto& item) { return item.second.accepted; }));
+    return static_cast<std::size_t>(std::count_if(
+        jobs_.begin(),
+        jobs_.end(),
+        [](const auto& item) { return item.second.accepted.has_value(); }));
 }
 
 } // namespace poplarramp::review
--- a/review/standin/consumers.hpp
+++ b/review/standin/consumers.hpp
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,14 @@
     // Asks for the state of each accepted job once.
     void ask_for_all();
 
+    // Asks each front for the `pending` of the queue and checks the rule MIXED.
+    void ask_for_pending(int queue);
+    // Answers that broke the rule MIXED.
+    int wrong_counts() const
+    {
+        return wrong_counts_;
+    }
+
     // Watches each accepted job for 3 s, as the rule LOST does after
     // `finish_s`. Then calls `done` with the jobs that break the rule.
     void check_lost(std::function<void(std::vector<std::string>)> done);
@@ -68,13 +77,19 @@
     struct submitted
     {
         job_order order;
-        bool accepted = false;
+        std::optional<time_point> accepted;
         std::string state;
         // Since when nothing of the job runs although its turn has come.
         time_point idle_since{};
     };
 
     void send(const std::string& id, std::size_t front);
+    // Jobs of the queue that were accepted over `visible_ms` and 2 s before
+    // `when` and have not begun.
+    std::vector<std::string> waiting_in(int queue, time_point when) const;
+    void on_pending(const std::string& front,
+                    const std::vector<std::string>& waiting,
+                    const http_reply& reply);
     bool idle_with_room(const submitted& job) const;
 
     http_client client_;
@@ -88,6 +103,7 @@
     time_point next_question_{};
     std::vector<std::string> lost_;
     std::size_t next_front_ = 0;
+    int wrong_counts_ = 0;
 };
 
 } // namespace poplarramp::review
--- a/review/standin/scenario.cpp
+++ b/review/standin/scenario.cpp
@@ -71,6 +71,7 @@
         const std::map<std::string, void (scenario::*)()> cases{
             {"row-limit", &scenario::row_limit},
             {"silent-feeds", &scenario::silent_feeds},
+            {"pending", &scenario::pending},
         };
         const auto found = cases.find(settings_.name);
         if (found == cases.end())
@@ -216,6 +217,47 @@
         }
     }
 
+    // Small jobs come all the while; some workers of a rack lose power.
+    void pending()
+    {
+        constexpr int jobs = 200;
+        constexpr int queue = 1;
+        constexpr milliseconds interval{50};
+        constexpr milliseconds trouble_at{5000};
+        constexpr std::size_t lost_workers = 7;
+        constexpr milliseconds end{18000};
+        for (int i = 0; i < jobs; ++i)
+        {
+            job_order small;
+            small.id = job_id(0x20, static_cast<unsigned>(i));
+            small.queue = queue;
+            small.need = {1000, 1024, 0};
+            small.work = {milliseconds(1500), false};
+            at(interval * i, [this, small] { consumers_.submit(small); });
+        }
+        if (settings_.trouble)
+        {
+            at(trouble_at, [this] { workers_.lose_power(lost_workers); });
+        }
+        for (auto time = trouble_at; time < end; time += milliseconds(200))
+        {
+            at(time, [this] { consumers_.ask_for_pending(queue); });
+        }
+        at(end,
+           [this]
+           {
+               log_.write("check",
+                          std::to_string(consumers_.accepted()) +
+                              " jobs accepted, " +
+                              std::to_string(consumers_.wrong_counts()) +
+                              " answers break MIXED");
+               result_ = consumers_.accepted() == 0       ? exit_not_run
+                         : consumers_.wrong_counts() == 0 ? exit_held
+                                                          : exit_broken;
+               control_.stop();
+           });
+    }
+
     const scenario_settings settings_;
     asio::io_context traffic_;
     asio::io_context control_;
--- a/review/standin/workers.cpp
+++ b/review/standin/workers.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t workers_per_rack = 8;
 constexpr std::size_t max_ends = 500;
 constexpr milliseconds beat_interval{1500};
+constexpr milliseconds entry_lifetime{4500};
 constexpr milliseconds max_wait{2000};
 
 std::int64_t unix_now()
@@ -107,6 +108,23 @@
     next_beat_ = monotonic_now() + beat_interval;
 }
 
+void fleet::lose_power(std::size_t count)
+{
+    for (const auto& item : workers_)
+    {
+        if (count > 0 && item->rack == workers_.front()->rack)
+        {
+            --count;
+            log_.write(item->id, "loses power");
+            item->dark_since = monotonic_now();
+            item->active.clear();
+        }
+    }
+    std::erase_if(waiting_,
+                  [](const waiting_hold& call)
+                  { return call.at->dark_since.has_value(); });
+}
+
 void fleet::announce(worker& item)
 {
     Json::Value row;
@@ -149,6 +167,10 @@
                   const http_request& request,
                   respond_hook respond)
 {
+    if (item.dark_since)
+    {
+        return;
+    }
     advance(item);
     failure why;
     const auto call = parse_json(request.body, why);
@@ -363,6 +385,12 @@
     const auto now = monotonic_now();
     for (const auto& item : workers_)
     {
+        if (item->dark_since && item->registered &&
+            now - *item->dark_since >= entry_lifetime)
+        {
+            item->registered = false;
+            rows_.remove("servers", item->id);
+        }
         advance(*item);
     }
     if (now >= next_beat_)
@@ -370,7 +398,10 @@
         next_beat_ = now + beat_interval;
         for (const auto& item : workers_)
         {
-            announce(*item);
+            if (!item->dark_since)
+            {
+                announce(*item);
+            }
         }
     }
     for (auto call = waiting_.begin(); call != waiting_.end();)
--- a/review/standin/workers.hpp
+++ b/review/standin/workers.hpp
@@ -67,6 +67,10 @@
     // Ends runs and answers long polls. To be called every few milliseconds.
     void tick();
 
+    // The first workers of the first rack lose power for good: they answer
+    // nothing any more, and their entries are removed after three beats.
+    void lose_power(std::size_t count);
+
     // Tells what the tasks of a job need, for the share in use.
     void expect(const std::string& job, const room& need);
 
@@ -115,6 +119,8 @@
         std::map<std::string, int> highest_attempt;
         std::uint64_t last_end = 0;
         std::int64_t beats = 0;
+        std::optional<time_point> dark_since;
+        bool registered = true;
         std::unique_ptr<http_server> server;
     };
 
