Review case 2: an urgent job that cannot run stops all others

Cause: keep_headroom counts the accelerators of all waiting urgent steps, also of those that never fit, as urgent load. With more than the fleet has and half of the accelerators in use, every server is reserved for urgent steps, and is_eligible keeps all other steps off.

What the case does: long tasks use 221 of 384 accelerators and few processors; one urgent gang that is larger than the fleet is handed in beside small jobs and a lasting task that fails once.

--- a/review/standin/consumers.cpp
+++ b/review/standin/consumers.cpp
@@ -36,6 +36,7 @@
     Json::Value spec;
     spec["work_ms"] = static_cast<Json::Int64>(order.work.time.count());
     spec["saves"] = order.work.saves;
+    spec["lasts"] = order.work.lasts;
     Json::Value step;
     step["task_count"] = order.tasks;
     step["cpu"] = static_cast<Json::Int64>(order.need.cpu);
@@ -49,6 +50,14 @@
     {
         step["saves_progress"] = true;
     }
+    if (order.work.lasts)
+    {
+        step["long_running"] = true;
+    }
+    if (order.gang)
+    {
+        step["gang"] = true;
+    }
     Json::Value body;
     body["task_spec"] = json_text(spec);
     body["phases"].append(step);
--- a/review/standin/consumers.hpp
+++ b/review/standin/consumers.hpp
@@ -29,6 +29,7 @@
     // 0 to 2: the queue "/q0/" to "/q2/", by priority.
     int queue = 0;
     int tasks = 1;
+    bool gang = false;
     room need;
     task_work work;
     // Not 0: occurrences, the first one `first_due` from now.
--- a/review/standin/scenario.cpp
+++ b/review/standin/scenario.cpp
@@ -72,6 +72,8 @@
             {"row-limit", &scenario::row_limit},
             {"silent-feeds", &scenario::silent_feeds},
             {"pending", &scenario::pending},
+            {"lasting", &scenario::lasting},
+            {"hopeless", &scenario::hopeless},
         };
         const auto found = cases.find(settings_.name);
         if (found == cases.end())
@@ -135,9 +137,9 @@
         log_.write("check",
                    std::to_string(consumers_.accepted()) + " jobs accepted, " +
                        std::to_string(lost.size()) + " break LOST");
-        result_ = consumers_.accepted() == 0 ? exit_not_run
-                  : lost.empty()             ? exit_held
-                                             : exit_broken;
+        result_ = consumers_.accepted() == 0       ? exit_not_run
+                  : lost.empty() && !lasting_lost_ ? exit_held
+                                                   : exit_broken;
         control_.stop();
     }
 
@@ -258,6 +260,156 @@
            });
     }
 
+    // A lasting task fails while more batch tasks wait than there is room for.
+    // Nothing else happens.
+    void lasting()
+    {
+        constexpr milliseconds end{70000};
+        constexpr milliseconds fails_at{35000};
+        job_order order;
+        order.id = job_id(0x10, 0);
+        order.queue = 2;
+        order.need = {5600, 29000, 1};
+        order.work = {milliseconds(9500), false, true};
+        at(milliseconds(200), [this, order] { consumers_.submit(order); });
+        submit_steadily(end);
+        if (settings_.trouble)
+        {
+            at(fails_at, [this, id = order.id] { workers_.fail(id); });
+        }
+        for (auto time = fails_at - milliseconds(1000); time < end;
+             time += milliseconds(100))
+        {
+            at(time, [this, order] { watch_lasting(order); });
+        }
+        at(end,
+           [this]
+           {
+               log_.write("check",
+                          std::to_string(consumers_.accepted()) +
+                              " jobs accepted; LOST was " +
+                              (lasting_lost_ ? "broken" : "kept"));
+               result_ = consumers_.accepted() == 0 ? exit_not_run
+                         : lasting_lost_            ? exit_broken
+                                                    : exit_held;
+               control_.stop();
+           });
+    }
+
+    // Batch jobs for 380 of the 384 accelerators, urgent jobs for 50 more.
+    void submit_steadily(milliseconds end)
+    {
+        constexpr unsigned max_urgent_tasks = 5;
+        unsigned number = 0;
+        for (auto time = milliseconds(1000); time < end;
+             time += milliseconds(1200))
+        {
+            job_order batch;
+            batch.id = job_id(0x20, number++);
+            batch.queue = 2;
+            batch.tasks = 48;
+            batch.need = {5600, 29000, 1};
+            batch.work = {milliseconds(9500), false};
+            at(time, [this, batch] { consumers_.submit(batch); });
+        }
+        for (auto time = milliseconds(1000); time < end;
+             time += milliseconds(285))
+        {
+            job_order urgent;
+            urgent.id = job_id(0x30, number++);
+            urgent.queue = 0;
+            urgent.tasks = 1 + static_cast<int>(number % max_urgent_tasks);
+            urgent.need = {7500, 39000, 2};
+            urgent.work = {milliseconds(2500), false};
+            at(time, [this, urgent] { consumers_.submit(urgent); });
+        }
+    }
+
+    // LOST, for a task that lasts: from 6 s after its last run it does not run
+    // for 3 s, while there is room for it twice over.
+    void watch_lasting(const job_order& order)
+    {
+        constexpr milliseconds restart_time{6000};
+        // 3 s, and two intervals between looks.
+        constexpr milliseconds lost_time{3200};
+        const auto now = monotonic_now();
+        const bool runs = workers_.running(order.id) > 0;
+        const int room = workers_.free_places(order.need);
+        log_.write("watch",
+                   std::string(runs ? "runs" : "does not run") + ", room for " +
+                       std::to_string(room));
+        last_run_ = runs ? now : last_run_;
+        if (runs || room < 2 || now - last_run_ < restart_time)
+        {
+            last_excuse_ = now;
+        }
+        else if (now - last_excuse_ >= lost_time && !lasting_lost_)
+        {
+            lasting_lost_ = true;
+            log_.write("check",
+                       "LOST: for 3 s the lasting task " + order.id +
+                           " does not run, though there is room for it twice "
+                           "over");
+        }
+    }
+
+    // An urgent job that can never be done comes while long tasks use more
+    // than half of the accelerators and few processors. A lasting task fails
+    // once, with and without that job.
+    void hopeless()
+    {
+        constexpr int long_jobs = 4;
+        constexpr int small_jobs = 20;
+        constexpr milliseconds fails_at{8000};
+        job_order lasting;
+        lasting.id = job_id(0x40, 0);
+        lasting.queue = 2;
+        lasting.need = {1000, 4096, 1};
+        lasting.work = {milliseconds(9500), false, true};
+        at(milliseconds(200), [this, lasting] { consumers_.submit(lasting); });
+        at(fails_at, [this, id = lasting.id] { workers_.fail(id); });
+        for (auto time = fails_at - milliseconds(1000);
+             time < milliseconds(30000);
+             time += milliseconds(100))
+        {
+            at(time, [this, lasting] { watch_lasting(lasting); });
+        }
+        for (int i = 0; i < long_jobs; ++i)
+        {
+            job_order order;
+            order.id = job_id(0x10, static_cast<unsigned>(i));
+            order.queue = 2;
+            order.tasks = 55;
+            order.need = {1000, 4096, 1};
+            order.work = {milliseconds(600000), false};
+            at(milliseconds(500), [this, order] { consumers_.submit(order); });
+        }
+        if (settings_.trouble)
+        {
+            job_order poison;
+            poison.id = job_id(0x20, 0);
+            poison.queue = 0;
+            poison.tasks = 64;
+            poison.gang = true;
+            poison.need = {7500, 39000, 8};
+            poison.work = {milliseconds(2500), false};
+            at(milliseconds(4000),
+               [this, poison] { consumers_.submit(poison); });
+        }
+        for (int i = 0; i < small_jobs; ++i)
+        {
+            job_order small;
+            small.id = job_id(0x30, static_cast<unsigned>(i));
+            small.queue = 1 + i % 2;
+            small.tasks = 2;
+            small.need = {1000, 1024, 0};
+            small.work = {milliseconds(1500), false};
+            at(milliseconds(1000) * i + milliseconds(1000),
+               [this, small] { consumers_.submit(small); });
+        }
+        finish_after(milliseconds(1000) * small_jobs);
+    }
+
     const scenario_settings settings_;
     asio::io_context traffic_;
     asio::io_context control_;
@@ -268,6 +420,9 @@
     asio::steady_timer timer_;
     std::multimap<std::int64_t, std::function<void()>> actions_;
     int result_ = exit_not_run;
+    time_point last_run_{};
+    time_point last_excuse_{};
+    bool lasting_lost_ = false;
 };
 
 } // namespace
--- a/review/standin/workers.cpp
+++ b/review/standin/workers.cpp
@@ -54,7 +54,7 @@
     return "";
 }
 
-// The payload is {"work_ms": N, "saves": true}.
+// The payload is {"work_ms": N, "saves": true, "lasts": false}.
 std::optional<task_work> work_of(const std::string& payload)
 {
     failure why;
@@ -64,7 +64,8 @@
         return std::nullopt;
     }
     return task_work{milliseconds((*json)["work_ms"].asInt64()),
-                     (*json)["saves"].asBool()};
+                     (*json)["saves"].asBool(),
+                     (*json)["lasts"].asBool()};
 }
 
 } // namespace
@@ -125,6 +126,25 @@
                   { return call.at->dark_since.has_value(); });
 }
 
+void fleet::fail(const std::string& job)
+{
+    for (const auto& item : workers_)
+    {
+        std::vector<run_key> runs;
+        for (const auto& [run, state] : item->active)
+        {
+            if (parse_task_name(run.first)->job == job)
+            {
+                runs.push_back(run);
+            }
+        }
+        for (const auto& run : runs)
+        {
+            end(*item, run, "failed");
+        }
+    }
+}
+
 void fleet::announce(worker& item)
 {
     Json::Value row;
@@ -362,7 +382,8 @@
         {
             ends.emplace_back(run, "stopped");
         }
-        else if (!state.stops_at && worked >= state.work.time)
+        else if (!state.stops_at && !state.work.lasts &&
+                 worked >= state.work.time)
         {
             ends.emplace_back(run, "done");
         }
@@ -479,13 +500,19 @@
 
 double fleet::share_in_use() const
 {
+    const auto cores_of = [](const room& part)
+    {
+        constexpr std::int64_t millis_per_gpu = 8000;
+        return part.cpu + millis_per_gpu * part.gpus;
+    };
     std::int64_t used = 0;
     for (const auto& item : workers_)
     {
-        used += used_on(*item).cpu;
+        used += cores_of(used_on(*item));
     }
     return static_cast<double>(used) /
-           static_cast<double>(settings_.capacity.cpu * settings_.workers);
+           static_cast<double>(cores_of(settings_.capacity) *
+                               settings_.workers);
 }
 
 } // namespace poplarramp::review
--- a/review/standin/workers.hpp
+++ b/review/standin/workers.hpp
@@ -50,6 +50,8 @@
 {
     milliseconds time{0};
     bool saves = false;
+    // Works until it is stopped or fails.
+    bool lasts = false;
 };
 
 // Used on the control thread only.
@@ -71,6 +73,9 @@
     // nothing any more, and their entries are removed after three beats.
     void lose_power(std::size_t count);
 
+    // All runs of the job fail now.
+    void fail(const std::string& job);
+
     // Tells what the tasks of a job need, for the share in use.
     void expect(const std::string& job, const room& need);
 
@@ -80,7 +85,8 @@
     int starts(const std::string& job) const;
     // Number of tasks with these needs that would fit now.
     int free_places(const room& need) const;
-    // Share of all processors that is in use.
+    // Share of the capacity that is in use; an accelerator counts as 8 cores,
+    // as in the prices of RULES.md.
     double share_in_use() const;
 
 private:
