Review case 3: one more burst a round

The window between the check and the start is a part of the time that a burst takes; more bursts make the case less dependent on the speed of the machine.

--- a/review/standin/scenario.cpp
+++ b/review/standin/scenario.cpp
@@ -178,7 +178,7 @@
     void silent_feeds()
     {
         constexpr int rounds = 14;
-        constexpr int bursts = 4;
+        constexpr int bursts = 5;
         constexpr milliseconds interval{5000};
         constexpr milliseconds burst_interval{200};
         for (int round = 0; round < rounds; ++round)
