Review case 1: one large job makes the leader crash without end

Cause: job_progress creates the state of every task of every due occurrence at once and never drops that of an ended one; 10,000 occurrences of 256 tasks are accepted and need over 300 MB. A process that finds its own row in the store takes over at once, so that the one that was killed for its memory leads again.

What the case does: a job of 10,000 occurrences that are due at once is handed in beside small jobs; a process over memory_mb is killed and started again.

--- a/review/processes.sh
+++ b/review/processes.sh
@@ -5,6 +5,8 @@
 # Machines in each zone.
 machines_per_zone=2
 zones=(nabeul-a sfax-a kairouan-a)
+# `limits.memory_mb` of the machines of ongtm-sched.
+memory_mb=260
 first_port=12000
 last_port=30000
 ports_per_machine=4
@@ -35,6 +37,10 @@
 
 clean_up() {
     local pid
+    for pid in "${pids[@]}"; do
+        kill -TERM "$pid" 2>/dev/null || true
+    done
+    sleep 0.5
     for pid in "${pids[@]}"; do
         kill -KILL "$pid" 2>/dev/null || true
     done
@@ -73,6 +79,30 @@
 SETTINGS
 }
 
+# Runs one machine ($1) until SIGTERM. As the platform does, ends its process once
+# it has more memory than `memory_mb`, says so in the record ($2), and starts it
+# again after a short delay.
+run_machine() {
+    local name=$1 record=$2 pid=0 used
+    trap 'kill -KILL "$pid" 2>/dev/null; exit' TERM
+    while :; do
+        target/poplarramp serve-site --settings "$work/$name.jsonc" \
+            >>"$work/$name.log" 2>&1 &
+        pid=$!
+        while kill -0 "$pid" 2>/dev/null; do
+            used=$(awk '/^VmRSS/ { print int($2 / 1024) }' \
+                "/proc/$pid/status" 2>/dev/null)
+            if ((${used:-0} > memory_mb)); then
+                kill -KILL "$pid"
+                echo "platform kills $name, which has $used MB" >>"$record"
+            fi
+            sleep 0.1
+        done
+        wait "$pid" 2>/dev/null
+        sleep 0.3
+    done
+}
+
 # Runs the case ($1) with the stand-ins; writes the record to $2. Returns the
 # exit code of the stand-in: 0 held, 1 broken, 2 could not run.
 run_case() {
@@ -90,6 +120,7 @@
             port=$((port + ports_per_machine))
         done
     done
+    rm -f "$record"
     target/review/review-standin "$case" "$record" "$store" "${TROUBLE:-1}" \
         "${fronts[@]}" &
     local standin=$!
@@ -100,8 +131,7 @@
         sleep 0.05
     done
     for name in "${names[@]}"; do
-        target/poplarramp serve-site --settings "$work/$name.jsonc" \
-            >"$work/$name.log" 2>&1 &
+        run_machine "$name" "$record" &
         pids+=($!)
     done
     wait "$standin"
--- a/review/standin/consumers.cpp
+++ b/review/standin/consumers.cpp
@@ -64,6 +64,9 @@
     if (order.repetitions > 0)
     {
         body["repetitions"] = order.repetitions;
+    }
+    if (order.interval > milliseconds(0))
+    {
         body["start_at_ms"] =
             static_cast<Json::Int64>(unix_now() + order.first_due.count());
         body["interval_ms"] = static_cast<Json::Int64>(order.interval.count());
--- a/review/standin/consumers.hpp
+++ b/review/standin/consumers.hpp
@@ -32,7 +32,8 @@
     bool gang = false;
     room need;
     task_work work;
-    // Not 0: occurrences, the first one `first_due` from now.
+    // Not 0: occurrences, the first one `first_due` from now; without an
+    // interval all at once.
     int repetitions = 0;
     milliseconds first_due{0};
     milliseconds interval{0};
--- a/review/standin/record.cpp
+++ b/review/standin/record.cpp
@@ -5,7 +5,8 @@
 namespace poplarramp::review
 {
 
-record::record(const std::string& file) : started_(monotonic_now()), out_(file)
+record::record(const std::string& file)
+    : started_(monotonic_now()), out_(file, std::ios::app)
 {
 }
 
--- a/review/standin/scenario.cpp
+++ b/review/standin/scenario.cpp
@@ -74,6 +74,7 @@
             {"pending", &scenario::pending},
             {"lasting", &scenario::lasting},
             {"hopeless", &scenario::hopeless},
+            {"repeated", &scenario::repeated},
         };
         const auto found = cases.find(settings_.name);
         if (found == cases.end())
@@ -410,6 +411,35 @@
         finish_after(milliseconds(1000) * small_jobs);
     }
 
+    // A job that is to run many times as soon as there is room, beside small
+    // jobs.
+    void repeated()
+    {
+        constexpr int many = 10000;
+        constexpr int few = 4;
+        constexpr int small_jobs = 20;
+        job_order batch;
+        batch.id = job_id(0x10, 0);
+        batch.queue = 2;
+        batch.tasks = 256;
+        batch.need = {500, 256, 0};
+        batch.work = {milliseconds(1500), false};
+        batch.repetitions = settings_.trouble ? many : few;
+        at(milliseconds(3000), [this, batch] { consumers_.submit(batch); });
+        for (int i = 0; i < small_jobs; ++i)
+        {
+            job_order small;
+            small.id = job_id(0x20, static_cast<unsigned>(i));
+            small.queue = i % 3;
+            small.tasks = 2;
+            small.need = {1000, 1024, 0};
+            small.work = {milliseconds(1500), false};
+            at(milliseconds(1000) * i + milliseconds(500),
+               [this, small] { consumers_.submit(small); });
+        }
+        finish_after(milliseconds(1000) * small_jobs);
+    }
+
     const scenario_settings settings_;
     asio::io_context traffic_;
     asio::io_context control_;
