--- a/review/processes.sh
+++ b/review/processes.sh
@@ -83,8 +83,8 @@
 # it has more memory than `memory_mb`, says so in the record ($2), and starts it
 # again after a short delay.
 run_machine() {
-    local name=$1 record=$2 pid=0 used
-    trap 'kill -KILL "$pid" 2>/dev/null; exit' TERM
+    local name=$1 record=$2 pid='' used
+    trap '[ -z "$pid" ] || kill -KILL "$pid" 2>/dev/null; exit' TERM
     while :; do
         target/poplarramp serve-site --settings "$work/$name.jsonc" \
             >>"$work/$name.log" 2>&1 &
