Restart a gang at once if a member on a silent server ended it

Cause: when a server crashes, the other members of its gangs report at once that another member ended, but the member on the silent server kept its placement until the leases had run out. Change: domain/gang_ends keeps the ends of an attempt. If no member reported a cause and the leader had stopped none, a member on a server without contact was the cause, so that no member works any more. Confirmed members on silent servers are dropped a second later; runs whose start was not confirmed still wait for the leases. The loss counts as evidence about the task as before.

--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -650,6 +650,7 @@
             ended_jobs_.insert(id);
             open_jobs_.erase(found);
             planner_.forget_job(id);
+            gang_ends_.forget_job(id);
         }
     }
     request_plan();
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -5,6 +5,7 @@
 #define POPLARRAMP_DOMAIN_DISPATCHER_HPP
 
 #include "domain/deployment_view.hpp"
+#include "domain/gang_ends.hpp"
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/leadership.hpp"
@@ -170,10 +171,15 @@
                           const renewal_reply& reply);
     std::optional<server_clock> lease_for(const server_record& server) const;
     server_target target_of(const server_record& server) const;
+    void drop_ended_members(const std::string& id, server_record& server);
     void expire_lost_server(const std::string& id, server_record& server);
     void on_lost_runs(const std::string& id,
                       const std::map<run_id, server_run>& runs,
                       bool crashed);
+    void record_losses(const std::string& id,
+                       const std::map<run_id, server_run>& runs,
+                       const std::map<run_id, server_run>& lost,
+                       bool crashed);
     void record_loss(const std::string& id,
                      const run_id& run,
                      loss_role role,
@@ -256,6 +262,7 @@
     // State of each job in the table.
     std::map<std::string, step_job_state> stored_states_;
     std::set<std::string> dirty_jobs_;
+    gang_ends gang_ends_;
     step_planner planner_;
     run_log run_log_;
     bool plan_due_ = true;
--- a/src/domain/dispatcher_losses.cpp
+++ b/src/domain/dispatcher_losses.cpp
@@ -35,6 +35,16 @@
 void dispatcher::on_lost_runs(const std::string& id,
                               const std::map<run_id, server_run>& runs,
                               bool crashed)
+{
+    record_losses(id, runs, runs, crashed);
+}
+
+// Records the loss of the runs in `lost` only, which are some of all `runs` on
+// the server.
+void dispatcher::record_losses(const std::string& id,
+                               const std::map<run_id, server_run>& runs,
+                               const std::map<run_id, server_run>& lost,
+                               bool crashed)
 {
     const auto* server = registry_.find(id);
     const bool draining = server != nullptr && server->registration.draining;
@@ -49,6 +59,10 @@
     }
     for (const auto* run : suspects)
     {
+        if (!lost.contains(*run))
+        {
+            continue;
+        }
         // A new leader does not know whether its predecessor saw them at work.
         // An order without a reply may have come after the crash.
         const auto& record = runs.at(*run);
@@ -64,6 +78,10 @@
     }
     for (const auto* run : at_work)
     {
+        if (!lost.contains(*run))
+        {
+            continue;
+        }
         record_loss(id,
                     *run,
                     suspects.empty() ? loss_role::at_work
@@ -211,6 +229,58 @@
     }
 }
 
+// A gang of which only members on silent servers are left, and that was ended
+// by one of these, does not work any more: its tasks need not wait until the
+// leases have run out. Runs whose start was not confirmed may begin later.
+void dispatcher::drop_ended_members(const std::string& id,
+                                    server_record& server)
+{
+    const auto now = hooks_.now();
+    if (server.in_contact(now))
+    {
+        return;
+    }
+    std::map<run_id, server_run> ended;
+    for (const auto& [run, record] : server.runs)
+    {
+        const auto job = open_jobs_.find(run.task.job);
+        if (!record.confirmed || job == open_jobs_.end() ||
+            !gang_ends_.ended_elsewhere(run, now))
+        {
+            continue;
+        }
+        const auto members = job->second.members(run);
+        const bool all_silent =
+            std::all_of(members.begin(),
+                        members.end(),
+                        [this, now](const run_id& member)
+                        {
+                            const auto* host =
+                                registry_.find(server_of(member));
+                            return host != nullptr && !host->in_contact(now);
+                        });
+        if (all_silent)
+        {
+            ended.emplace(run, record);
+        }
+    }
+    if (ended.empty())
+    {
+        return;
+    }
+    hooks_.count("gang_members_lost", static_cast<double>(ended.size()));
+    record_losses(id, server.runs, ended, false);
+    for (const auto& [run, record] : ended)
+    {
+        drop_run(id, run, "", "its gang has ended on a silent server");
+        const auto job = open_jobs_.find(run.task.job);
+        if (job == open_jobs_.end() || job->second.members(run).empty())
+        {
+            gang_ends_.forget(run);
+        }
+    }
+}
+
 void dispatcher::expire_lost_server(const std::string& id,
                                     server_record& server)
 {
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -43,6 +43,7 @@
     for (auto& [id, server] : registry_.all())
     {
         expire_lost_server(id, server);
+        drop_ended_members(id, server);
         if (!server.renewal_in_flight && now >= server.next_renewal &&
             !server.registration.address.empty())
         {
@@ -310,6 +311,9 @@
         return;
     }
     server.last_applied_end = end.number;
+    const auto ended = server.runs.find(end.run);
+    const bool stopping = ended != server.runs.end() &&
+                          ended->second.lifecycle.phase == run_phase::stopping;
     server.runs.erase(end.run);
     const auto found = open_jobs_.find(end.run.task.job);
     const auto members = found == open_jobs_.end()
@@ -354,6 +358,14 @@
             request_stop(server_id, run, "an older run has succeeded");
         }
     }
+    if (members.size() > 1)
+    {
+        gang_ends_.record(end.run, end.outcome, stopping, hooks_.now());
+    }
+    else
+    {
+        gang_ends_.forget(end.run);
+    }
     if (effect.job_failed)
     {
         stop_runs_of(found->second);
--- a/tests/domain_crash_test.cpp
+++ b/tests/domain_crash_test.cpp
@@ -2,6 +2,7 @@
 // time.
 #include "domain_simulation.hpp"
 
+#include "domain/gang_ends.hpp"
 #include "model/codec.hpp"
 
 #include <string>
@@ -336,3 +337,73 @@
     CHECK(fixture.wait_until_given_up());
     fixture.check_no_violations();
 }
+
+// Guards against a gang that waits for the leases of a crashed server, although
+// its other members have reported that it has ended. Played on a test site, it
+// began again 13 s after the crash.
+TEST(domain_crash, gang_restarts_before_leases_of_crashed_server_end)
+{
+    crash_fixture fixture(4);
+    auto& sim = fixture.sim;
+    sim.crash_downtime = milliseconds(60000);
+    for (auto& [id, server] : sim.servers)
+    {
+        server.task_time = milliseconds(6000);
+    }
+    const int accelerators = 8;
+    sim.submit(0, "gang", "q1", one_step(3, accelerators, true));
+    const auto server = fixture.wait_for_run("gang", milliseconds(1500));
+    const auto crashed_at = sim.now;
+    sim.crash_server(server);
+    sim.run(milliseconds(1000));
+    CHECK(fixture.server_of("gang").empty());
+    CHECK(sim.run_until(milliseconds(4000),
+                        [&] { return !fixture.server_of("gang").empty(); }));
+    CHECK(sim.now - crashed_at < 5000);
+    CHECK(sim.run_until(milliseconds(30000),
+                        [&] { return is_final(sim.state("gang")); }));
+    CHECK(sim.state("gang") == step_job_state::completed);
+    fixture.check_no_violations();
+}
+
+// Guards against a second run of a gang that works on behind a partition.
+TEST(domain_crash, gang_on_partitioned_server_is_not_restarted)
+{
+    crash_fixture fixture(4);
+    auto& sim = fixture.sim;
+    for (auto& [id, server] : sim.servers)
+    {
+        server.task_time = milliseconds(12000);
+    }
+    const int accelerators = 8;
+    sim.submit(0, "gang", "q1", one_step(3, accelerators, true));
+    const auto server = fixture.wait_for_run("gang", milliseconds(1500));
+    sim.servers.at(server).partitioned = true;
+    const auto starts = sim.starts;
+    sim.run(milliseconds(4500));
+    CHECK_EQUAL(starts, sim.starts);
+    fixture.check_no_violations();
+}
+
+// Guards against an end with a known cause, or one that the leader caused,
+// being taken for the end of a member on a silent server.
+TEST(domain_crash, gang_ends_with_known_cause_tell_nothing)
+{
+    const run_id first{{"gang", 0, 0, 0}, 1};
+    const run_id second{{"gang", 0, 0, 1}, 1};
+    const time_point begin{milliseconds(1000)};
+    const auto later = begin + gang_end_delay;
+    gang_ends ends;
+    CHECK(!ends.ended_elsewhere(first, later));
+    ends.record(first, run_outcome::gang_ended, false, begin);
+    CHECK(!ends.ended_elsewhere(first, later - milliseconds(1)));
+    CHECK(ends.ended_elsewhere(first, later));
+    // A member that was stopped after the first end is no cause.
+    ends.record(second, run_outcome::stopped, true, begin);
+    CHECK(ends.ended_elsewhere(second, later));
+    ends.record(second, run_outcome::failed, false, begin);
+    CHECK(!ends.ended_elsewhere(first, later));
+    ends.forget(first);
+    ends.record(first, run_outcome::gang_ended, true, begin);
+    CHECK(!ends.ended_elsewhere(first, later));
+}
