--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -163,6 +163,8 @@
     void on_ended(const std::string& id,
                   server_record& server,
                   const listed_end& end);
+    void
+    record_gang_end(const listed_end& end, bool stopping, std::size_t members);
     placed_runs newer_runs(const job_progress& job, const run_id& ended) const;
     void on_failed_run(const std::string& id, server_record& server);
     void resolve_unlisted(const std::string& id,
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -358,14 +358,7 @@
             request_stop(server_id, run, "an older run has succeeded");
         }
     }
-    if (members.size() > 1)
-    {
-        gang_ends_.record(end.run, end.outcome, stopping, hooks_.now());
-    }
-    else
-    {
-        gang_ends_.forget(end.run);
-    }
+    record_gang_end(end, stopping, members.size());
     if (effect.job_failed)
     {
         stop_runs_of(found->second);
@@ -380,6 +373,21 @@
     }
 }
 
+// `members` is the number of members that had not ended, with this one.
+void dispatcher::record_gang_end(const listed_end& end,
+                                 bool stopping,
+                                 std::size_t members)
+{
+    if (members > 1)
+    {
+        gang_ends_.record(end.run, end.outcome, stopping, hooks_.now());
+    }
+    else
+    {
+        gang_ends_.forget(end.run);
+    }
+}
+
 // Current runs of the task or gang, if `ended` is an earlier attempt.
 placed_runs dispatcher::newer_runs(const job_progress& job,
                                    const run_id& ended) const
