Place work by the learned speed of the servers

Urgent steps take fast servers first and a gang members of like speed; other steps take the slowest servers on which they still meet their deadline, so that the fast ones remain free. max_slowdown covers distance only: a slow server stays usable for all work.

Observations are the progress in two lists of a run, on the clock of the server, and the ends of tasks that are not members of a gang. Enabled by scheduling.learn_speeds, and in force only while the 90th or 10th percentile of the servers differs from their median by more than the smallest stretch of the configured queues.

--- a/measure/fleet_replay.cpp
+++ b/measure/fleet_replay.cpp
@@ -399,7 +399,7 @@
                     now_ + start_delay,
                     milliseconds(std::llround(
                         static_cast<double>(jobs_[job].runs[task].count()) *
-                        decision.result.slowdown)),
+                        decision.result.remote_slowdown)),
                     ++run_number_};
                 servers_[server].free -= jobs_[job].step.need;
                 servers_[server].runs.emplace(job, task);
--- a/src/config/site_settings.cpp
+++ b/src/config/site_settings.cpp
@@ -107,6 +107,8 @@
                                     target.min_servers_for_relays,
                                     1,
                                     max_servers_for_relays)}),
+        object_field("scheduling",
+                     {flag_field("learn_speeds", target.learn_speeds)}),
         object_field("bounds", bound_schema(target.bounds)),
         object_field("log", log_schema(target.log)),
     };
--- a/src/config/site_settings.hpp
+++ b/src/config/site_settings.hpp
@@ -55,6 +55,9 @@
     double processor_share = 1;
     // The leader makes the calls of smaller domains itself.
     int min_servers_for_relays = 128;
+    // The leader learns the speed of the backend servers and uses it where
+    // speeds differ by more than the queues bear.
+    bool learn_speeds = false;
     site_bound_settings bounds;
     log_settings log{log_level::info, "stdout"};
 };
--- a/src/domain/deployment_view.cpp
+++ b/src/domain/deployment_view.cpp
@@ -154,6 +154,20 @@
     return find_in(queues_, name);
 }
 
+std::optional<double> deployment_view::min_stretch() const
+{
+    std::optional<double> result;
+    for (const auto& [name, queue] : queues_)
+    {
+        const double stretch = queue->policy.stretch;
+        if (stretch > 1)
+        {
+            result = std::min(result.value_or(stretch), stretch);
+        }
+    }
+    return result;
+}
+
 const std::string* deployment_view::customer_of(const std::string& key) const
 {
     const auto* found = find_in(keys_, key);
--- a/src/domain/deployment_view.hpp
+++ b/src/domain/deployment_view.hpp
@@ -49,6 +49,9 @@
     std::optional<queue_match> match(std::string_view host,
                                      std::string_view path) const;
     const queue_config* queue(const std::string& name) const;
+    // The smallest stretch of a queue that leaves room for longer run times
+    // (above 1); unset if there is none.
+    std::optional<double> min_stretch() const;
 
     // Name of the customer that owns the key, or null.
     const std::string* customer_of(const std::string& key) const;
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -38,6 +38,9 @@
     // Factor on the run time of a task far from its data, or of a gang that
     // spans several racks.
     double remote_slowdown = 3;
+    // Learn the speed of the servers, and use it where speeds differ by more
+    // than the queues bear.
+    bool learn_speeds = false;
     // How long the rows of a finished job are kept.
     milliseconds retention{300000};
 };
@@ -94,6 +97,11 @@
         return registry_;
     }
 
+    const server_speed& speeds() const
+    {
+        return speeds_;
+    }
+
 private:
     // What a commit stores; takes effect here once the commit is confirmed.
     struct commit_contents
@@ -158,7 +166,8 @@
                        const renewal_reply& reply);
     void on_listed(const std::string& id,
                    server_record& server,
-                   const listed_run& listed);
+                   const listed_run& listed,
+                   std::optional<server_clock> listed_on);
     void on_ended(const std::string& id,
                   server_record& server,
                   const listed_end& end);
@@ -191,6 +200,24 @@
     std::string server_of(const run_id& run) const;
     server_run* find_run(const std::string& server, const run_id& run);
 
+    // Speed of the servers (dispatcher_speeds.cpp).
+    std::uint64_t comparison_of(const server_record& server,
+                                const run_id& run) const;
+    void observe_progress(server_record& server,
+                          const run_id& run,
+                          server_run& record,
+                          int percent,
+                          server_clock clock);
+    void observe_ends(server_record& server,
+                      time_point requested_at,
+                      const renewal_reply& reply);
+    void observe(server_record& server,
+                 const run_id& run,
+                 server_run& record,
+                 const pace_sample& sample);
+    void classify_servers();
+    void log_class(const server_record& server, int before) const;
+
     // Start and stop orders (dispatcher_orders.cpp).
     bool may_start_on(const server_record& server) const;
     server_run* run_of_reply(const std::string& id,
@@ -257,6 +284,8 @@
     std::map<std::string, step_job_state> stored_states_;
     std::set<std::string> dirty_jobs_;
     step_planner planner_;
+    server_speed speeds_;
+    time_point next_classification_{};
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -19,7 +19,8 @@
                                     registry_,
                                     deployment_,
                                     settings_.regions,
-                                    settings_.remote_slowdown});
+                                    settings_.remote_slowdown,
+                                    speeds_});
     if (view.input.steps.empty())
     {
         return;
@@ -82,7 +83,9 @@
               {"of", std::to_string(tasks.size())},
               {"attempt", std::to_string(attempt)},
               {"servers", std::to_string(decision.result.parts.size())},
-              {"slowness", std::to_string(decision.result.slowdown)},
+              {"slowness",
+               std::to_string(decision.result.remote_slowdown *
+                              decision.result.server_slowdown)},
               {"in_guarantee", decision.in_guarantee ? "true" : "false"},
               {"isolated", decision.isolated ? "true" : "false"},
               {"config", std::to_string(deployment_.version())}});
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -39,6 +39,7 @@
 void dispatcher::poll_servers()
 {
     const auto now = hooks_.now();
+    classify_servers();
     std::vector<std::string> obsolete;
     for (auto& [id, server] : registry_.all())
     {
@@ -218,13 +219,14 @@
     {
         on_server_returned(id, server);
     }
+    observe_ends(server, requested_at, reply);
     for (const auto& end : reply.ended)
     {
         on_ended(id, server, end);
     }
     for (const auto& listed : reply.active)
     {
-        on_listed(id, server, listed);
+        on_listed(id, server, listed, reply.order.clock);
     }
     resolve_unlisted(id, server, requested_at, reply);
     if (!server.adopted)
@@ -248,7 +250,8 @@
 
 void dispatcher::on_listed(const std::string& id,
                            server_record& server,
-                           const listed_run& listed)
+                           const listed_run& listed,
+                           std::optional<server_clock> listed_on)
 {
     const auto now = hooks_.now();
     const auto found = server.runs.find(listed.run);
@@ -264,6 +267,11 @@
         run.confirmed = true;
         run.percent = listed.percent;
         run.listed_at = now;
+        if (listed_on)
+        {
+            observe_progress(
+                server, listed.run, run, listed.percent, *listed_on);
+        }
         if (!listed.checkpoint.empty() && listed.checkpoint != run.checkpoint)
         {
             run.checkpoint = listed.checkpoint;
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -1,6 +1,7 @@
 #include "domain/planning_view.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <optional>
 #include <string_view>
@@ -43,6 +44,12 @@
             std::min(none, free.accelerators)};
 }
 
+milliseconds scaled(milliseconds time, double factor)
+{
+    return milliseconds(
+        std::llround(static_cast<double>(time.count()) * factor));
+}
+
 // One attempt of a gang.
 using gang_key = std::tuple<const job_progress*, int, int, int>;
 
@@ -196,11 +203,25 @@
             static_cast<std::int64_t>(
                 job.policy.stretch *
                 static_cast<double>(critical_path(job.spec).count()));
+        item.request.tolerated_slowdown =
+            tolerated_slowdown(job, item.deadline_unix_ms);
         item.ready_since = since;
         view_.input.steps.push_back(std::move(item));
         view_.steps.push_back({&progress, std::move(tasks)});
     }
 
+    // Factor on run times with which the job still meets its deadline. A job
+    // that misses it in any case loses no more by slow servers, but is not to
+    // occupy those that hardly advance.
+    double tolerated_slowdown(const step_job& job,
+                              std::int64_t deadline_unix_ms) const
+    {
+        const auto left =
+            static_cast<double>(deadline_unix_ms - records_.unix_now);
+        const auto work = static_cast<double>(critical_path(job.spec).count());
+        return left > work && work > 0 ? left / work : job.policy.stretch;
+    }
+
     placement_request request_for(const job_progress& progress, int step) const
     {
         const auto& job = progress.job();
@@ -270,6 +291,7 @@
         item.service = registration.service;
         item.labels = registration.labels;
         item.capacity = registration.capacity;
+        item.slowdown = records_.speeds.slowdown(server.speed, records_.now);
         item.proven = !isolated_steps_wait_ || server.is_proven();
         item.free = server.keeps_others_out() ? nothing_of(free) : free;
         item.failures = records_.now - server.last_failure < failure_backoff
@@ -314,7 +336,7 @@
         group.preemptible = !spec.long_running;
         group.lost_core_seconds += lost_core_seconds(spec, record);
         group.expected_end =
-            std::max(group.expected_end, expected_end(spec, record));
+            std::max(group.expected_end, expected_end(spec, server, record));
         if (group.priority == 0 && !group.stopping)
         {
             view_.input.customers[group.customer].used += used.accelerators;
@@ -367,6 +389,7 @@
     }
 
     time_point expected_end(const step_spec& spec,
+                            const server_record& server,
                             const server_run& record) const
     {
         if (spec.long_running)
@@ -376,7 +399,11 @@
         const auto listed_after = record.listed_at - record.started_at;
         if (record.percent < min_percent || listed_after <= milliseconds(0))
         {
-            return std::max(records_.now, record.started_at + spec.estimate);
+            const double slowdown =
+                records_.speeds.slowdown(server.speed, records_.now);
+            return std::max(records_.now,
+                            record.started_at +
+                                scaled(spec.estimate, slowdown));
         }
         return record.listed_at + listed_after *
                                       (hundred_percent - record.percent) /
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -34,6 +34,7 @@
     // Factor on the run time of a task far from its data, or of a gang that
     // spans several racks.
     double remote_slowdown = 1;
+    const server_speed& speeds;
 };
 
 // Valid until the records change.
--- a/src/domain/server_registry.hpp
+++ b/src/domain/server_registry.hpp
@@ -7,6 +7,7 @@
 #include "domain/lease_clock.hpp"
 #include "domain/run_lifecycle.hpp"
 #include "domain/server_api.hpp"
+#include "policy/server_speed.hpp"
 
 #include <cstdint>
 #include <map>
@@ -56,6 +57,7 @@
     // Progress in the newest list that contained the run.
     int percent = 0;
     time_point listed_at{};
+    progress_mark progress;
     // Listed by the server, but not recorded here before.
     bool untracked = false;
     server_use use = server_use::shared;
@@ -91,6 +93,7 @@
     // Failed runs since the last successful one.
     int failures = 0;
     time_point last_failure{};
+    speed_estimate speed;
 
     // A run of unknown size may use all that the server has now.
     resources used_by(const server_run& run) const;
--- a/src/policy/capacity_search.cpp
+++ b/src/policy/capacity_search.cpp
@@ -197,7 +197,7 @@
     {
         if (servers[i].capacity.covers(need) &&
             is_eligible(request, servers[i]) &&
-            slowdown_on(request, servers[i]) <= request.max_slowdown)
+            remote_slowdown_on(request, servers[i]) <= request.max_slowdown)
         {
             usable.push_back(i);
         }
--- a/src/policy/server_speed.cpp
+++ b/src/policy/server_speed.cpp
@@ -94,7 +94,7 @@
 } // namespace
 
 std::optional<pace_sample>
-advance(progress_mark& mark, int percent, std::int64_t server_ms)
+sample_progress(progress_mark& mark, int percent, std::int64_t server_ms)
 {
     if (percent <= 0 || percent >= done_percent)
     {
@@ -118,8 +118,8 @@
                : std::nullopt;
 }
 
-std::optional<pace_sample> complete(const progress_mark& mark,
-                                    std::int64_t server_ms)
+std::optional<pace_sample> sample_end(const progress_mark& mark,
+                                      std::int64_t server_ms)
 {
     const auto elapsed = server_ms - mark.at_ms;
     const int increase = hundred_percent - mark.percent;
--- a/src/policy/server_speed.hpp
+++ b/src/policy/server_speed.hpp
@@ -69,11 +69,11 @@
 // Records the progress of a run in percent. Returns a sample after enough of
 // it; nothing for runs that have not begun or are about to end. Thread safe.
 std::optional<pace_sample>
-advance(progress_mark& mark, int percent, std::int64_t server_ms);
+sample_progress(progress_mark& mark, int percent, std::int64_t server_ms);
 
 // The same for the end of a run, which has completed its work now. Thread safe.
-std::optional<pace_sample> complete(const progress_mark& mark,
-                                    std::int64_t server_ms);
+std::optional<pace_sample> sample_end(const progress_mark& mark,
+                                      std::int64_t server_ms);
 
 // Standard error of `log_factor`. Thread safe.
 double error_of(const speed_estimate& server);
--- a/src/policy/step_placement.cpp
+++ b/src/policy/step_placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
@@ -22,7 +23,10 @@
 {
     std::size_t server = 0;
     int count = 0;
-    double slowdown = 1;
+    double remote_slowdown = 1;
+    double server_slowdown = 1;
+    // Of the server by its speed, the lowest first.
+    double rank = 0;
     std::int64_t left = 0;
 };
 
@@ -55,6 +59,15 @@
     return false;
 }
 
+// Rank of a server with this factor for single tasks of the step: urgent steps
+// take the fastest, others the slowest that they tolerate.
+double rank_of(const placement_request& request, double slowdown)
+{
+    const bool slowest_first =
+        !request.urgent && slowdown <= request.tolerated_slowdown;
+    return slowest_first ? -slowdown : slowdown;
+}
+
 std::vector<placement_option>
 options_on(const placement_request& request,
            std::span<const candidate_server> servers)
@@ -75,21 +88,24 @@
         {
             continue;
         }
-        const double slowdown = slowdown_on(request, server);
-        if (slowdown > request.max_slowdown)
+        const double remote_slowdown = remote_slowdown_on(request, server);
+        if (remote_slowdown > request.max_slowdown)
         {
             continue;
         }
         options.push_back({i,
                            count,
-                           slowdown,
+                           remote_slowdown,
+                           server.slowdown,
+                           rank_of(request, server.slowdown),
                            available.accelerators - count * need.accelerators});
     }
     return options;
 }
 
-// Uses the options in order of slowdown, then of the fewest accelerators left
-// over, so that large shapes remain free elsewhere, until all tasks are placed.
+// Uses the options in order of distance and rank, then of the fewest
+// accelerators left over, so that large shapes remain free elsewhere, until all
+// tasks are placed.
 placement_result fill(std::span<placement_option> options, int tasks)
 {
     const auto needed =
@@ -100,8 +116,10 @@
         options.end(),
         [](const placement_option& a, const placement_option& b)
         {
-            return std::tuple(a.slowdown, a.left, -a.count, a.server) <
-                   std::tuple(b.slowdown, b.left, -b.count, b.server);
+            return std::tuple(
+                       a.remote_slowdown, a.rank, a.left, -a.count, a.server) <
+                   std::tuple(
+                       b.remote_slowdown, b.rank, b.left, -b.count, b.server);
         });
     placement_result result;
     for (const auto& item : options.first(needed))
@@ -113,13 +131,80 @@
         const int count = std::min(item.count, tasks - result.tasks);
         result.parts.push_back({item.server, count});
         result.tasks += count;
-        result.slowdown = std::max(result.slowdown, item.slowdown);
+        result.remote_slowdown =
+            std::max(result.remote_slowdown, item.remote_slowdown);
+        result.server_slowdown =
+            result.parts.size() == 1
+                ? item.server_slowdown
+                : std::max(result.server_slowdown, item.server_slowdown);
     }
     return result;
 }
 
-// Places the whole gang in the fastest rack. Among equal racks, an urgent gang
-// prefers those kept for urgent steps, then the one that fits the fewest tasks.
+// A gang runs at the pace of its slowest member. An urgent gang takes as few
+// fast servers as its best pace allows. Another gang uses servers of one speed
+// if that is possible without fast servers, since faster ones would wait for
+// the others.
+void rank_for_gang(const placement_request& request,
+                   std::span<placement_option> options)
+{
+    const bool are_equal = std::all_of(
+        options.begin(),
+        options.end(),
+        [&options](const placement_option& item)
+        { return item.server_slowdown == options.front().server_slowdown; });
+    if (are_equal)
+    {
+        return;
+    }
+    // Tasks that fit on the servers of each factor.
+    std::map<double, int> fitting;
+    for (const auto& item : options)
+    {
+        fitting[item.server_slowdown] += item.count;
+    }
+    double pace = fitting.rbegin()->first;
+    bool is_alone = false;
+    int total = 0;
+    for (const auto& [slowdown, count] : fitting)
+    {
+        total += count;
+        if (request.urgent && total >= request.tasks)
+        {
+            pace = slowdown;
+            break;
+        }
+        if (!request.urgent && count >= request.tasks && slowdown >= 1 &&
+            slowdown <= request.tolerated_slowdown)
+        {
+            pace = slowdown;
+            is_alone = true;
+        }
+    }
+    for (auto& item : options)
+    {
+        const double slowdown = item.server_slowdown;
+        if (request.urgent)
+        {
+            item.rank = slowdown <= pace ? -slowdown : slowdown;
+        }
+        else if (is_alone && slowdown == pace)
+        {
+            item.rank = -std::numeric_limits<double>::infinity();
+        }
+    }
+}
+
+placement_result fill_gang(const placement_request& request,
+                           std::span<placement_option> options)
+{
+    rank_for_gang(request, options);
+    return fill(options, request.tasks);
+}
+
+// Places the whole gang in the nearest rack with the preferred speed. Among
+// equal racks, an urgent gang prefers those kept for urgent steps, then the one
+// that fits the fewest tasks.
 std::optional<placement_result>
 place_in_rack(const placement_request& request,
               std::span<const candidate_server> servers,
@@ -134,7 +219,7 @@
         option_of[item.server] = &item;
     }
     std::optional<placement_result> best;
-    std::tuple<double, bool, int> best_rank;
+    std::tuple<double, double, bool, int> best_rank;
     std::vector<placement_option> in_rack;
     for (const auto& rack : by_rack(servers, usable))
     {
@@ -149,9 +234,12 @@
         {
             continue;
         }
-        auto result = fill(in_rack, request.tasks);
+        auto result = fill_gang(request, in_rack);
         const bool kept = servers[rack.front()].reserved_for_urgent;
-        const std::tuple rank{result.slowdown, !kept, total};
+        const std::tuple rank{result.remote_slowdown,
+                              rank_of(request, result.server_slowdown),
+                              !kept,
+                              total};
         if (!best || rank < best_rank)
         {
             best = std::move(result);
@@ -174,14 +262,14 @@
             return in_rack;
         }
     }
-    auto result = fill(options, request.tasks);
+    auto result = fill_gang(request, options);
     if (result.tasks < request.tasks)
     {
         return std::nullopt;
     }
     if (request.step->same_rack)
     {
-        result.slowdown *= request.remote_slowdown;
+        result.remote_slowdown *= request.remote_slowdown;
     }
     return result;
 }
@@ -211,14 +299,12 @@
            server.failures <= request.max_failures;
 }
 
-// Factor on the run time of one task on the server, without the spread of a
-// gang.
-double slowdown_on(const placement_request& request,
-                   const candidate_server& server)
+double remote_slowdown_on(const placement_request& request,
+                          const candidate_server& server)
 {
     const auto& rack = request.step->data_rack;
     const bool remote = !rack.empty() && server.rack != rack;
-    return server.slowdown * (remote ? request.remote_slowdown : 1);
+    return remote ? request.remote_slowdown : 1;
 }
 
 std::vector<std::vector<std::size_t>>
--- a/src/policy/step_placement.hpp
+++ b/src/policy/step_placement.hpp
@@ -5,6 +5,7 @@
 #include "model/step_job.hpp"
 
 #include <cstddef>
+#include <limits>
 #include <optional>
 #include <span>
 #include <string>
@@ -36,7 +37,8 @@
     // Indices of the run groups with a member on the server, one entry for each
     // member.
     std::vector<std::size_t> groups;
-    // Factor on run times, relative to the fastest servers.
+    // Factor on run times, relative to the usual servers. Equal for servers
+    // that are to be treated as equally fast.
     double slowdown = 1;
     // Failed runs since the last successful one.
     int failures = 0;
@@ -67,8 +69,12 @@
     // Factor on run times outside the rack of the data, or for a gang over
     // several racks.
     double remote_slowdown = 1;
-    // Largest factor on run times that is accepted.
+    // Largest factor on run times by distance that is accepted.
     double max_slowdown = 1;
+    // Up to this factor of a server, a step that is not urgent takes the
+    // slowest servers first, so that the fast ones remain free for urgent
+    // steps.
+    double tolerated_slowdown = std::numeric_limits<double>::infinity();
 };
 
 struct placed_tasks
@@ -82,8 +88,9 @@
 {
     std::vector<placed_tasks> parts;
     int tasks = 0;
-    // Factor on the run time, for slow servers and distant racks.
-    double slowdown = 1;
+    // Factor on the run time by distant racks, and by the slowest server.
+    double remote_slowdown = 1;
+    double server_slowdown = 1;
 };
 
 // Resources that one task of the step takes from a server. Thread safe.
@@ -94,10 +101,10 @@
 bool is_eligible(const placement_request& request,
                  const candidate_server& server);
 
-// Factor on the run time of one task on the server, without the spread of a
-// gang over racks. Thread safe.
-double slowdown_on(const placement_request& request,
-                   const candidate_server& server);
+// Factor on the run time of one task on the server by the distance of its data,
+// without the spread of a gang over racks. Thread safe.
+double remote_slowdown_on(const placement_request& request,
+                          const candidate_server& server);
 
 // Indices of the servers by rack, the racks in the order of their first server.
 // Thread safe.
--- a/tests/policy_server_speed_test.cpp
+++ b/tests/policy_server_speed_test.cpp
@@ -164,8 +164,9 @@
             const int percent = static_cast<int>(
                 100 * std::max(0.0, run.done_ms) / run.length_ms);
             const auto sample =
-                is_listed ? advance(run.mark, std::min(percent, 100), now_ms_)
-                          : std::nullopt;
+                is_listed
+                    ? sample_progress(run.mark, std::min(percent, 100), now_ms_)
+                    : std::nullopt;
             if (sample)
             {
                 speeds.observe(
@@ -273,13 +274,13 @@
 TEST(server_speed, only_progress_between_two_lists_counts)
 {
     progress_mark mark;
-    CHECK_FALSE(advance(mark, 0, 1000).has_value());
-    CHECK_FALSE(advance(mark, 10, 3000).has_value());
-    CHECK_FALSE(advance(mark, 14, 3200).has_value());
-    const auto sample = advance(mark, 30, 4000);
+    CHECK_FALSE(sample_progress(mark, 0, 1000).has_value());
+    CHECK_FALSE(sample_progress(mark, 10, 3000).has_value());
+    CHECK_FALSE(sample_progress(mark, 14, 3200).has_value());
+    const auto sample = sample_progress(mark, 30, 4000);
     CHECK(sample.has_value());
     DOUBLES_EQUAL(std::log(5000), sample->log_ms, 1e-6);
-    CHECK_FALSE(advance(mark, 100, 5000).has_value());
-    CHECK_FALSE(advance(mark, 100, 9000).has_value());
-    CHECK_FALSE(complete(mark, 9000).has_value());
+    CHECK_FALSE(sample_progress(mark, 100, 5000).has_value());
+    CHECK_FALSE(sample_progress(mark, 100, 9000).has_value());
+    CHECK_FALSE(sample_end(mark, 9000).has_value());
 }
