Settings of the site: limits.memory_mb and limits.descriptors

The platform ends a process that exceeds its memory limit, and limits its descriptors; until now the process knew neither. Nothing uses them yet.

--- a/src/config/site_settings.cpp
+++ b/src/config/site_settings.cpp
@@ -16,6 +16,11 @@
 constexpr double min_processor_share = 0.01;
 constexpr double max_processor_share = 1024;
 constexpr int max_servers_for_relays = 1'000'000;
+constexpr int min_memory_mb = 32;
+constexpr int max_memory_mb = 1'048'576;
+// 200 descriptors are for files and for calls that the process makes.
+constexpr int min_descriptors = 300;
+constexpr int max_descriptors = 1'048'576;
 
 const std::string regions_format = "object with the region of each zone";
 
@@ -107,6 +112,15 @@
                                     target.min_servers_for_relays,
                                     1,
                                     max_servers_for_relays)}),
+        object_field("limits",
+                     {integer_field("memory_mb",
+                                    target.limits.memory_mb,
+                                    min_memory_mb,
+                                    max_memory_mb),
+                      integer_field("descriptors",
+                                    target.limits.descriptors,
+                                    min_descriptors,
+                                    max_descriptors)}),
         object_field("bounds", bound_schema(target.bounds)),
         object_field("log", log_schema(target.log)),
     };
--- a/src/config/site_settings.hpp
+++ b/src/config/site_settings.hpp
@@ -42,6 +42,16 @@
     double remote_slowdown = 3;
 };
 
+// What the platform grants to the process of this VM.
+struct site_limit_settings
+{
+    // The platform ends a process that exceeds it; parts of it bound what the
+    // process holds for callers.
+    int memory_mb = 128;
+    // Files and connections that the process may have open.
+    int descriptors = 4096;
+};
+
 struct site_settings
 {
     std::string vm;
@@ -55,6 +65,7 @@
     double processor_share = 1;
     // The leader makes the calls of smaller domains itself.
     int min_servers_for_relays = 128;
+    site_limit_settings limits;
     site_bound_settings bounds;
     log_settings log{log_level::info, "stdout"};
 };
