Work that cannot run takes no capacity from other work

Cause: headroom counted all waiting urgent steps, also a gang larger than the fleet, so that every server was reserved and nothing else started. A gang of all servers that waits for long runs renewed its reservation without end. Steps that no server can hold claimed guarantees and used up the searches of a plan. Change: headroom, guarantees and searches count only what the present servers can hold (policy/fleet_fit). No reservation waits for runs that last over 30 s; that of a step of over a third of the fleet is bounded to 12 s, and to 2 s while under half of the accelerators is in use. Such steps are reported in the log and in two counters. Five tests of the planner.

--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -228,6 +229,7 @@
     void preempt(const planning_view& view,
                  const planned_preemption& decision,
                  const placed_runs& victims);
+    void report_blocked(std::span<const blocked_step> blocked);
 
     const dispatcher_settings settings_;
     const dispatcher_hooks hooks_;
@@ -257,6 +259,8 @@
     std::map<std::string, step_job_state> stored_states_;
     std::set<std::string> dirty_jobs_;
     step_planner planner_;
+    // Steps that cannot be placed, with the time of the next report.
+    std::map<std::pair<step_id, block_reason>, time_point> blocked_steps_;
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -7,6 +7,14 @@
 namespace poplarramp
 {
 
+namespace
+{
+
+// Interval between the log lines about one step that cannot be placed.
+constexpr milliseconds blocked_report_interval{30000};
+
+} // namespace
+
 void dispatcher::plan()
 {
     if (!has_recent_state())
@@ -39,12 +47,43 @@
     {
         preempt(view, decisions.preemptions[i], victims[i]);
     }
+    report_blocked(decisions.blocked);
     if (decisions.incomplete)
     {
         request_plan();
     }
 }
 
+// Says why steps wait that no plan will place while the fleet is as it is.
+void dispatcher::report_blocked(std::span<const blocked_step> blocked)
+{
+    const auto now = hooks_.now();
+    std::erase_if(blocked_steps_,
+                  [now](const auto& item) { return item.second <= now; });
+    for (const auto& [id, reason] : blocked)
+    {
+        const bool is_new =
+            blocked_steps_
+                .try_emplace({id, reason}, now + blocked_report_interval)
+                .second;
+        if (!is_new)
+        {
+            continue;
+        }
+        log_line(log_level::warning,
+                 "sched",
+                 "Tasks cannot be placed.",
+                 {{"job", id.job},
+                  {"step", std::to_string(id.step)},
+                  {"repetition", std::to_string(id.repetition)},
+                  {"reason", std::string(name_of(reason))}});
+        hooks_.count(reason == block_reason::exceeds_fleet
+                         ? "blocked_by_fleet_size"
+                         : "blocked_by_long_runs",
+                     1);
+    }
+}
+
 void dispatcher::place(const planning_view& view,
                        const planned_placement& decision)
 {
--- a/src/policy/step_placement.cpp
+++ b/src/policy/step_placement.cpp
@@ -198,17 +198,23 @@
     return need;
 }
 
-bool is_eligible(const placement_request& request,
-                 const candidate_server& server)
+bool may_ever_run_on(const placement_request& request,
+                     const candidate_server& server)
 {
     return server.service == request.service &&
-           (request.urgent || !server.reserved_for_urgent ||
-            request.step->data_rack == server.rack) &&
            (request.regions.empty() ||
             contains(request.regions, server.region)) &&
            (request.step->label.empty() ||
-            contains(server.labels, request.step->label)) &&
-           server.failures <= request.max_failures;
+            contains(server.labels, request.step->label));
+}
+
+bool is_eligible(const placement_request& request,
+                 const candidate_server& server)
+{
+    return (request.urgent || !server.reserved_for_urgent ||
+            request.step->data_rack == server.rack) &&
+           server.failures <= request.max_failures &&
+           may_ever_run_on(request, server);
 }
 
 // Factor on the run time of one task on the server, without the spread of a
--- a/src/policy/step_placement.hpp
+++ b/src/policy/step_placement.hpp
@@ -89,6 +89,11 @@
 // Resources that one task of the step takes from a server. Thread safe.
 resources occupied_by_task(const step_spec& step);
 
+// True if the server is of the kind that the step needs, whatever its resources
+// and its present use. Thread safe.
+bool may_ever_run_on(const placement_request& request,
+                     const candidate_server& server);
+
 // True if the server may run tasks of the step, whatever its free resources.
 // Thread safe.
 bool is_eligible(const placement_request& request,
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -1,5 +1,7 @@
 #include "policy/step_planner.hpp"
 
+#include "policy/fleet_fit.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <limits>
@@ -24,6 +26,26 @@
 constexpr milliseconds preempting_reservation_lifetime{3000};
 constexpr milliseconds waiting_reservation_lifetime{12000};
 
+// A run that is expected to end later than this counts as long: no reservation
+// waits for it, since it would keep idle what other steps could use meanwhile.
+// Short runs take up to 11 s, and are estimated at up to 1.9 times as long.
+constexpr milliseconds long_run_time{30000};
+
+// A step that takes more of the fleet than this would hold up all other work.
+constexpr double wide_share = 1.0 / 3;
+
+// All waiting reservations of a wide step together last no longer than this.
+constexpr milliseconds max_wide_reservation{12000};
+
+// A wide step that was not placed within that time has no waiting reservation
+// for this long, so that the work that it held up gets its turn.
+constexpr milliseconds wide_reservation_pause{12000};
+
+// While less than `busy_utilization` is in use, the reservation of a wide step
+// lasts no longer than this: a job must not wait for 3 s while there is room
+// for it.
+constexpr milliseconds idle_reservation_lifetime{2000};
+
 // A reservation is searched anew after this time: a run that was expected to
 // end has not, or other capacity has become cheaper.
 constexpr milliseconds search_interval{500};
@@ -61,11 +83,22 @@
 
 } // namespace
 
+std::string_view name_of(block_reason reason)
+{
+    return reason == block_reason::exceeds_fleet
+               ? "the present servers cannot hold it"
+               : "it waits for runs that take long to end";
+}
+
 plan_decisions step_planner::plan(planning_input input)
 {
     round_ = {};
     round_.input = std::move(input);
     round_.claims = guarantee_claims(round_.input.customers);
+    round_.fleet = total_capacity(round_.input.servers);
+    round_.room_beside_long_runs = room_until(round_.input.servers,
+                                              round_.input.groups,
+                                              round_.input.now + long_run_time);
     validate_reservations();
     claim_guarantees();
     update_reservation_levels();
@@ -92,6 +125,8 @@
 {
     std::erase_if(reservations_,
                   [&job](const auto& item) { return item.first.job == job; });
+    std::erase_if(wait_limits_,
+                  [&job](const auto& item) { return item.first.job == job; });
 }
 
 void step_planner::claim_guarantees()
@@ -116,6 +151,10 @@
     for (const auto index : urgent)
     {
         const auto& request = steps[index].request;
+        if (!fits_empty_servers(request))
+        {
+            continue;
+        }
         round_.in_guarantee[index] = round_.claims.claim(
             steps[index].customer,
             request.tasks * request.step->need.accelerators);
@@ -160,11 +199,16 @@
         urgent +=
             group.priority == 0 && !group.stopping ? group.accelerators : 0;
     }
-    for (const auto& step : round_.input.steps)
+    const auto& steps = round_.input.steps;
+    for (std::size_t i = 0; i < steps.size(); ++i)
     {
-        urgent += step.priority == 0 ? step.request.tasks *
-                                           step.request.step->need.accelerators
-                                     : 0;
+        // A wide step has headroom only in its reservation, which is bounded.
+        if (steps[i].priority == 0 &&
+            (!is_wide(i, steps[i].request.tasks) || has_preempted_for(i)))
+        {
+            urgent +=
+                tasks_in_reach(i) * steps[i].request.step->need.accelerators;
+        }
     }
     headroom_.record(round_.input.now, urgent);
     if (round_.input.utilization >= busy_utilization)
@@ -173,16 +217,72 @@
     }
 }
 
+bool step_planner::has_preempted_for(std::size_t index) const
+{
+    const auto found = reservations_.find(round_.input.steps[index].id);
+    return found != reservations_.end() && found->second.preempted;
+}
+
+// Tasks of the urgent step that can run once the short runs have ended, or the
+// long ones have been stopped for it.
+int step_planner::tasks_in_reach(std::size_t index)
+{
+    const auto& request = round_.input.steps[index].request;
+    if (!fits_empty_servers(request))
+    {
+        return 0;
+    }
+    const auto& servers = round_.input.servers;
+    const auto& room = round_.room_beside_long_runs;
+    if (room.empty() || has_preempted_for(index))
+    {
+        return count_tasks_that_fit(request, servers, {});
+    }
+    auto& cache = round_.beside_long_runs;
+    if (cache.fits(request) == false && request.step->gang)
+    {
+        return 0;
+    }
+    const int tasks = count_tasks_that_fit(request, servers, room);
+    cache.record(request, tasks == request.tasks);
+    return tasks;
+}
+
+// Reports the step if it cannot be placed, however long it waits.
+void step_planner::report_blocked(std::size_t index)
+{
+    const auto& step = round_.input.steps[index];
+    auto& blocked = round_.decisions.blocked;
+    if (!fits_empty_servers(step.request))
+    {
+        blocked.push_back({step.id, block_reason::exceeds_fleet});
+        return;
+    }
+    const bool waits = step.priority == 0 && !reservations_.contains(step.id);
+    if (waits && tasks_in_reach(index) == 0)
+    {
+        blocked.push_back({step.id, block_reason::long_runs});
+    }
+}
+
 // Drops reservations that have expired, or whose servers cannot be used any
 // more.
 void step_planner::validate_reservations()
 {
     for (auto item = reservations_.begin(); item != reservations_.end();)
     {
-        const bool valid = round_.input.now < item->second.expires &&
-                           find_places(item->second);
+        auto& reserved = item->second;
+        if (!reserved.preempted)
+        {
+            limit_waiting(reserved, item->first);
+        }
+        const bool valid =
+            round_.input.now < reserved.expires && find_places(reserved);
         item = valid ? std::next(item) : reservations_.erase(item);
     }
+    std::erase_if(wait_limits_,
+                  [this](const auto& item)
+                  { return item.second.pause_until <= round_.input.now; });
 }
 
 // Looks up the servers of the reservation; false if one cannot be used.
@@ -285,6 +385,10 @@
     {
         reserve(index, missing);
     }
+    if (missing == step.request.tasks)
+    {
+        report_blocked(index);
+    }
 }
 
 int step_planner::place_free(std::size_t index, bool has_reservation)
@@ -337,7 +441,8 @@
     {
         return *known;
     }
-    const bool fits = can_ever_fit(request, round_.input.servers);
+    const bool fits =
+        count_tasks_that_fit(request, round_.input.servers, {}) > 0;
     round_.empty_servers.record(request, fits);
     return fits;
 }
@@ -394,6 +499,10 @@
     {
         return;
     }
+    if (!fits_empty_servers(step.request))
+    {
+        return;
+    }
     if (round_.searches >= max_searches)
     {
         round_.decisions.incomplete = true;
@@ -408,7 +517,8 @@
         found->second.next_search = now + search_interval;
         return;
     }
-    if (!urgent && waiting_reservations() >= max_waiting_reservations)
+    if (!may_wait_reserved(index) ||
+        (!urgent && waiting_reservations() >= max_waiting_reservations))
     {
         return;
     }
@@ -558,6 +668,10 @@
         return std::nullopt;
     }
     const auto left = waited_for.expected_end - round_.input.now;
+    if (left > long_run_time)
+    {
+        return std::nullopt;
+    }
     return static_cast<double>(std::max(left, milliseconds(0)).count());
 }
 
@@ -580,6 +694,11 @@
         now + (preempted || step.priority == 0 ? preempting_reservation_lifetime
                                                : waiting_reservation_lifetime);
     reserved.next_search = now + search_interval;
+    reserved.wide = is_wide(index, step.request.tasks);
+    if (!preempted)
+    {
+        limit_waiting(reserved, step.id);
+    }
     reserved.places = claim.parts;
     for (const auto& part : claim.parts)
     {
@@ -589,6 +708,38 @@
     exclude(reserved, false);
 }
 
+bool step_planner::is_wide(std::size_t index, int tasks) const
+{
+    const auto need = occupied_by_task(*round_.input.steps[index].request.step);
+    return share_of_fleet(round_.fleet, need, tasks) > wide_share;
+}
+
+// False if the step is wide and has used up its time for waiting reservations.
+bool step_planner::may_wait_reserved(std::size_t index) const
+{
+    const auto limit = wait_limits_.find(round_.input.steps[index].id);
+    return limit == wait_limits_.end() ||
+           round_.input.now < limit->second.reserve_until;
+}
+
+// Shortens the reservation of a wide step to what is left of the step's time
+// for waiting reservations.
+void step_planner::limit_waiting(reservation& reserved, const step_id& id)
+{
+    if (!reserved.wide)
+    {
+        return;
+    }
+    const bool idle = round_.input.utilization < busy_utilization;
+    const auto until = round_.input.now + (idle ? idle_reservation_lifetime
+                                                : max_wide_reservation);
+    auto& limit =
+        wait_limits_.try_emplace(id, wait_limit{until, {}}).first->second;
+    limit.reserve_until = std::min(limit.reserve_until, until);
+    limit.pause_until = limit.reserve_until + wide_reservation_pause;
+    reserved.expires = std::min(reserved.expires, limit.reserve_until);
+}
+
 // Precondition: the capacity of the reservation is hidden.
 void step_planner::close_reservation(reservation_map::iterator item)
 {
--- a/src/policy/step_planner.hpp
+++ b/src/policy/step_planner.hpp
@@ -17,6 +17,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -91,11 +92,31 @@
     bool in_guarantee = false;
 };
 
+enum class block_reason
+{
+    // The servers could not hold it if nothing else ran on them.
+    exceeds_fleet,
+    // It could run only after runs that take long to end and may not be stopped
+    // for it.
+    long_runs,
+};
+
+std::string_view name_of(block_reason reason);
+
+// A waiting step that takes no capacity from other steps, since it could not
+// use it.
+struct blocked_step
+{
+    step_id id;
+    block_reason reason = block_reason::exceeds_fleet;
+};
+
 // To be carried out in this order: placements, then preemptions.
 struct plan_decisions
 {
     std::vector<planned_placement> placements;
     std::vector<planned_preemption> preemptions;
+    std::vector<blocked_step> blocked;
     // The plan was cut short and has changed something; another one is due at
     // once.
     bool incomplete = false;
@@ -126,10 +147,21 @@
         time_point next_search{};
         // Stops were requested for the runs that occupy the capacity.
         bool preempted = false;
+        // Takes so much of the fleet that other work cannot use the rest.
+        bool wide = false;
     };
 
     using reservation_map = std::map<step_id, reservation>;
 
+    // Bounds the time for which capacity is kept for one wide step that waits
+    // for runs to end, over all its reservations.
+    struct wait_limit
+    {
+        time_point reserve_until{};
+        // No reservation from `reserve_until` to this time.
+        time_point pause_until{};
+    };
+
     // State of the plan in progress.
     struct round
     {
@@ -139,6 +171,10 @@
         std::vector<bool> in_guarantee;
         fit_cache free_capacity;
         fit_cache empty_servers;
+        // Room beside the runs that take long to end; empty if there are none.
+        std::vector<resources> room_beside_long_runs;
+        fit_cache beside_long_runs;
+        resources fleet;
         // Searches that counted on the end of runs, by priority, whether runs
         // were to be stopped and, within the guarantee, customer.
         std::map<std::tuple<int, bool, std::optional<std::size_t>>, fit_cache>
@@ -150,6 +186,9 @@
     void claim_guarantees();
     std::vector<std::size_t> ranked_steps() const;
     void keep_headroom();
+    bool has_preempted_for(std::size_t index) const;
+    int tasks_in_reach(std::size_t index);
+    void report_blocked(std::size_t index);
     void validate_reservations();
     bool find_places(reservation& reserved) const;
     int level_of(std::size_t index) const;
@@ -183,8 +222,12 @@
     double loss_of(const run_group& group) const;
     bool ends_soon(const run_group& group) const;
     int waiting_reservations() const;
+    bool is_wide(std::size_t index, int tasks) const;
+    bool may_wait_reserved(std::size_t index) const;
+    void limit_waiting(reservation& reserved, const step_id& id);
 
     reservation_map reservations_;
+    std::map<step_id, wait_limit> wait_limits_;
     urgent_headroom headroom_;
     round round_;
 };
--- a/tests/policy_step_planner_test.cpp
+++ b/tests/policy_step_planner_test.cpp
@@ -396,3 +396,117 @@
     }
     FAIL_TEST("the planner does not come to an end");
 }
+
+// Guards against an urgent gang that the fleet cannot hold: headroom kept all
+// servers for it, and no other job started any more.
+TEST(step_planner, gang_wider_than_the_fleet_takes_no_headroom)
+{
+    add_servers(8);
+    const auto customer = add_customer(0);
+    for (std::size_t i = 0; i < 8; ++i)
+    {
+        add_group(1, customer, 5, {i});
+    }
+    add_step("hopeless", 0, customer, gang_of(10, 8));
+    add_step("labelled", 0, customer, gang_of(4, 8));
+    specs.back().label = "none-has-it";
+    add_step("small", 1, customer, gang_of(1, 1));
+    const auto decisions = planner.plan(input);
+    CHECK_EQUAL(1U, decisions.placements.size());
+    CHECK_EQUAL(2U, decisions.placements[0].step);
+    CHECK_EQUAL(2U, decisions.blocked.size());
+    for (const auto& item : decisions.blocked)
+    {
+        CHECK(item.reason == block_reason::exceeds_fleet);
+    }
+}
+
+// Guards against a gang that can never run and uses up the guarantee of its
+// customer.
+TEST(step_planner, gang_that_cannot_run_claims_no_guarantee)
+{
+    add_servers(2);
+    const auto owner = add_customer(16);
+    add_group(1, owner, 8, {0});
+    add_group(1, owner, 8, {1});
+    add_step("labelled", 0, owner, gang_of(2, 8));
+    specs.back().label = "none-has-it";
+    add_step("a", 0, owner, gang_of(2, 8));
+    const auto decisions = planner.plan(input);
+    CHECK_EQUAL(1U, decisions.preemptions.size());
+    CHECK(decisions.preemptions[0].in_guarantee);
+}
+
+// Guards against searches for steps that no server can hold: they used up those
+// of the plan, so that the last step stopped no runs.
+TEST(step_planner, steps_that_cannot_run_use_no_searches)
+{
+    add_servers(2);
+    const auto customer = add_customer(0);
+    add_group(1, customer, 8, {0});
+    add_group(1, customer, 8, {1});
+    for (int i = 0; i < 20; ++i)
+    {
+        add_step(std::string("a") += std::to_string(100 + i),
+                 0,
+                 customer,
+                 gang_of(1, 8));
+        specs.back().label = std::to_string(i);
+    }
+    add_step("b", 0, customer, gang_of(1, 8));
+    CHECK_EQUAL(1U, planner.plan(input).preemptions.size());
+}
+
+// Guards against an urgent gang of all servers that waits for a long task on
+// each of them: it reserved all that was free for as long as it waited.
+TEST(step_planner, gang_behind_long_runs_holds_up_no_other_work)
+{
+    add_servers(8);
+    const auto customer = add_customer(0);
+    for (std::size_t i = 0; i < 8; ++i)
+    {
+        const auto group = add_group(1, customer, 5, {i});
+        input.groups[group].preemptible = false;
+        input.groups[group].expected_end =
+            i < 4 ? time_point::max() : input.now + milliseconds(3'600'000);
+    }
+    add_step("wide", 0, customer, gang_of(8, 8));
+    add_step("small", 1, customer, gang_of(8, 3));
+    const auto decisions = planner.plan(input);
+    CHECK_EQUAL(1U, decisions.placements.size());
+    CHECK_EQUAL(1U, decisions.blocked.size());
+    CHECK(decisions.blocked[0].reason == block_reason::long_runs);
+}
+
+// Guards against a reservation of the whole fleet that is renewed without end,
+// since the runs that it waits for do not end when they should.
+TEST(step_planner, wide_reservation_is_bounded_in_time)
+{
+    add_servers(8);
+    const auto customer = add_customer(0);
+    for (std::size_t i = 0; i < 8; ++i)
+    {
+        const auto group = add_group(1, customer, 5, {i});
+        input.groups[group].preemptible = false;
+    }
+    add_step("wide", 0, customer, gang_of(8, 8));
+    add_step("small", 2, customer, gang_of(8, 3));
+    for (const bool busy : {true, false})
+    {
+        input.utilization = busy ? 0.6 : 0.4;
+        const auto begin = input.now;
+        const auto bound = milliseconds(busy ? 12000 : 2000);
+        while (planner.plan(input).placements.empty())
+        {
+            input.now += milliseconds(100);
+            CHECK(input.now - begin <= bound);
+        }
+        CHECK(input.now - begin == bound);
+        // The pause ends.
+        input.now += milliseconds(60000);
+        for (auto& group : input.groups)
+        {
+            group.expected_end = input.now + milliseconds(1000);
+        }
+    }
+}
