A start that is not sent returns its gang to the queue

Cause: start_committed checks all runs of a commit, then sends the starts one by one; if a time limit passes meanwhile, send_start returned silently and the run stayed in run_phase::placing for good. Change: send_start returns the run, a gang as a whole, to the queue. The other phases have events: an order always gets a reply or a time-out, an unconfirmed run is resolved by the next list, a stop is repeated, and the leases of a silent server run out.

--- a/src/domain/dispatcher_orders.cpp
+++ b/src/domain/dispatcher_orders.cpp
@@ -60,9 +60,18 @@
         return;
     }
     auto& server = registry_.at(id);
+    // Time passes while the starts of a commit are sent, so that this may have
+    // become false since the commit. Nothing else ends the phase of a run that
+    // was not ordered.
+    const bool may_start = may_start_on(server);
     const auto lease = lease_for(server);
-    if (!may_start_on(server))
+    if (!may_start || !lease)
     {
+        if (run_record->lifecycle.phase == run_phase::placing)
+        {
+            hooks_.count("starts_not_sent", 1);
+            stop_gang(run, "the server may no longer start runs");
+        }
         return;
     }
     server.lease.grant(*lease);
--- a/tests/domain_scheduler_test.cpp
+++ b/tests/domain_scheduler_test.cpp
@@ -564,3 +564,25 @@
     CHECK_EQUAL(0, sim.stopped_runs);
     check_no_violations();
 }
+
+// Guards against a placed run that is never started: a time limit passed while
+// the starts of its commit were sent, and nothing handled the runs that were
+// left.
+TEST(domain_scheduler, starts_that_are_not_sent_return_to_the_queue)
+{
+    add_servers(8);
+    wait_for_leader();
+    // 60 starts take longer than the rows of the store count as recent.
+    auto& leader = *sim.leader();
+    leader.time_per_start = milliseconds(100);
+    sim.submit(0, job_id(1), "q1", one_step(60, 1));
+    sim.submit(0, job_id(2), "q1", one_step(60, 1, true));
+    sim.submit(1, job_id(3), "q1", one_step(60, 1));
+    sim.run(milliseconds(5000));
+    leader.time_per_start = milliseconds(0);
+    for (int i = 1; i <= 3; ++i)
+    {
+        CHECK(wait_for_completion(job_id(i), milliseconds(15000)));
+    }
+    check_no_violations();
+}
--- a/tests/domain_simulation.cpp
+++ b/tests/domain_simulation.cpp
@@ -744,6 +744,7 @@
                                 time_point deadline,
                                 std::function<void(order_reply)> done)
     {
+        sim.now += time_per_start.count();
         call_server<order_reply>(
             *this,
             to,
@@ -1082,6 +1083,7 @@
             }
             vm->tick();
         }
+        phases_.tick(*this);
     }
 }
 
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -7,6 +7,7 @@
 #include "domain/job_api.hpp"
 #include "domain/leadership.hpp"
 #include "domain/row_watcher.hpp"
+#include "domain_phase_check.hpp"
 #include "relay/relay_http.hpp"
 
 #include <cstdint>
@@ -136,6 +137,8 @@
     std::uint64_t vm_incarnation = 0;
     // Takes effect at the next start.
     double processor_share = 1;
+    // Time that passes on the VM while it sends a start order.
+    milliseconds time_per_start{0};
 
     deployment_rows rows;
     std::unique_ptr<deployment_view> deployment;
@@ -259,6 +262,7 @@
     void revive_server(const std::string& id);
 
     std::multimap<std::int64_t, std::function<void()>> actions_;
+    phase_check phases_;
     int revived_servers_ = 0;
 };
 
