--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -22,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -263,6 +264,7 @@
     void preempt(const planning_view& view,
                  const planned_preemption& decision,
                  const placed_runs& victims);
+    void report_blocked(std::span<const blocked_step> blocked);
 
     const dispatcher_settings settings_;
     const dispatcher_hooks hooks_;
@@ -295,6 +297,8 @@
     step_planner planner_;
     server_speed speeds_;
     time_point next_classification_{};
+    // Steps that cannot be placed, with the time of the next report.
+    std::map<std::pair<step_id, block_reason>, time_point> blocked_steps_;
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
