Limit what a customer runs over all servers

Cause: the configuration may have `cap` for a customer, the most that it may run at a time; it was not read, and nothing held it.

Change: `cap` and `weight` are decoded, `bounds.limit_overage` is a settings key. Each plan counts what every customer holds from the records of the servers: runs that are placed, ordered, running, unconfirmed, being stopped, unknown here, and those of ended jobs, which a new leader takes from their progress rows. Placements, reservations, preemption, guarantee claims and headroom count only tasks that the limit lets run.

--- a/src/config/site_settings.cpp
+++ b/src/config/site_settings.cpp
@@ -12,6 +12,7 @@
 constexpr int max_bound_ms = 3'600'000;
 constexpr double max_bound_s = 3600;
 constexpr double max_remote_slowdown = 1000;
+constexpr double max_limit_overage = 10;
 constexpr double ms_per_s = 1000;
 constexpr double min_processor_share = 0.01;
 constexpr double max_processor_share = 1024;
@@ -80,6 +81,8 @@
         seconds_field("status_time_s", target.status_retention),
         number_field(
             "far_factor", target.remote_slowdown, 1, max_remote_slowdown),
+        number_field(
+            "limit_overage", target.limit_overage, 0, max_limit_overage),
     };
 }
 
--- a/src/config/site_settings.hpp
+++ b/src/config/site_settings.hpp
@@ -40,6 +40,9 @@
     milliseconds status_retention{120000};
     // Factor on run times on another rack than the data, or across racks.
     double remote_slowdown = 3;
+    // Share of its limit by which a customer may exceed it, for a gang that is
+    // wider than the limit.
+    double limit_overage = 0;
 };
 
 struct site_settings
--- a/src/domain/deployment.hpp
+++ b/src/domain/deployment.hpp
@@ -49,6 +49,11 @@
     std::int64_t guaranteed_accelerators = 0;
     // Regions in which its jobs may run; empty: all.
     std::vector<std::string> regions;
+    // Its share of a full fleet, relative to other customers, and the number of
+    // jobs per second that it is entitled to submit; 0: none.
+    double weight = 0;
+    // The most that its tasks may use over all servers; 0: no limit.
+    resources limit = {};
 };
 
 struct deployment_config
--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "domain/dispatcher.hpp"
 
 #include "base/log.hpp"
+#include "domain/ended_runs.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -219,8 +220,8 @@
         }
         if (ended && row != progress_rows_.end())
         {
-            // Runs that still exist are found when their servers list them.
             ended_jobs_.insert(id);
+            restore_ended_job(id, record, row->second);
         }
         if (!ended)
         {
@@ -285,6 +286,28 @@
     }
 }
 
+// Runs of an ended job that the last leader has not seen end count under the
+// limit of their customer until their servers have listed their runs.
+void dispatcher::restore_ended_job(const std::string& id,
+                                   const job_record& job,
+                                   const std::string& progress_row)
+{
+    for (const auto& [run, placed_on] : runs_in_row(id, progress_row))
+    {
+        auto& server = registry_.at(placed_on.id);
+        if (server.registration.incarnation == 0)
+        {
+            server.registration.incarnation = placed_on.incarnation;
+        }
+        server_run run_record;
+        run_record.need = job.largest_need;
+        run_record.lifecycle.phase = run_phase::unconfirmed;
+        run_record.started_at = hooks_.now();
+        server.runs[run] = run_record;
+        request_stop(placed_on.id, run, "job ended");
+    }
+}
+
 void dispatcher::on_server_rows(const std::vector<table_row>& rows)
 {
     for (auto& [id, server] : registry_.all())
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -38,6 +38,9 @@
     // Factor on the run time of a task far from its data, or of a gang that
     // spans several racks.
     double remote_slowdown = 3;
+    // Share of its limit by which a customer may exceed it, for a gang that is
+    // wider than the limit.
+    double limit_overage = 0;
     // How long the rows of a finished job are kept.
     milliseconds retention{300000};
 };
@@ -119,6 +122,9 @@
     void restore_jobs();
     // `progress_row` is null if the job has none.
     void restore_job(const step_job& job, const std::string* progress_row);
+    void restore_ended_job(const std::string& id,
+                           const job_record& job,
+                           const std::string& progress_row);
     void find_restarted_servers();
     void on_server_row(const table_row_change& change);
     void on_server_rows(const std::vector<table_row>& rows);
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -19,7 +19,9 @@
                                     registry_,
                                     deployment_,
                                     settings_.regions,
-                                    settings_.remote_slowdown});
+                                    settings_.remote_slowdown,
+                                    settings_.limit_overage,
+                                    &jobs_});
     if (view.input.steps.empty())
     {
         return;
--- a/src/domain/job_directory.cpp
+++ b/src/domain/job_directory.cpp
@@ -100,6 +100,19 @@
                                                   : written;
 }
 
+resources job_directory::largest_need(const step_job_spec& spec)
+{
+    resources result;
+    for (const auto& step : spec.steps)
+    {
+        const auto& need = step.need;
+        result = {std::max(result.cpu_millis, need.cpu_millis),
+                  std::max(result.memory_mb, need.memory_mb),
+                  std::max(result.accelerators, need.accelerators)};
+    }
+    return result;
+}
+
 void job_directory::load(const std::vector<table_row>& rows)
 {
     jobs_.clear();
@@ -137,6 +150,10 @@
     }
     if (target.state && is_final(target.state->state) && target.job)
     {
+        if (!target.job->spec.steps.empty())
+        {
+            target.largest_need = largest_need(target.job->spec);
+        }
         target.job->spec = {};
     }
     if (!target.job && !target.cancel_requested && !target.state)
--- a/src/domain/job_directory.hpp
+++ b/src/domain/job_directory.hpp
@@ -52,6 +52,9 @@
     // Unset until the `accepted` row is seen. Steps and payload are dropped
     // when the job has ended.
     std::optional<step_job> job;
+    // Of an ended job: at least what each of its tasks needs, since a run may
+    // outlast its job.
+    resources largest_need = {};
     bool cancel_requested = false;
     std::optional<job_state_row> state;
 
@@ -81,6 +84,7 @@
     std::size_t pending(const std::string& queue) const;
 
 private:
+    static resources largest_need(const step_job_spec& spec);
     bool apply_value(job_record& target,
                      job_row_kind kind,
                      const std::string& value);
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -53,6 +53,7 @@
     {
         view_.input.now = records.now;
         view_.input.unix_now = records.unix_now;
+        view_.input.limit_overage = records.limit_overage;
     }
 
     planning_view build()
@@ -81,9 +82,13 @@
         if (added)
         {
             const auto* customer = records_.deployment.customer(name);
-            view_.input.customers.push_back(
-                {customer == nullptr ? 0 : customer->guaranteed_accelerators,
-                 0});
+            auto& use = view_.input.customers.emplace_back();
+            if (customer != nullptr)
+            {
+                use.guaranteed = customer->guaranteed_accelerators;
+                use.weight = customer->weight;
+                use.limit = customer->limit;
+            }
         }
         return item->second;
     }
@@ -295,6 +300,7 @@
         auto& group = view_.input.groups[index];
         view_.group_runs[index].push_back({&server.registration.id, &run});
         const auto used = server.used_by(record);
+        charge(run, job, group);
         group.need = used;
         group.accelerators += used.accelerators;
         if (usable)
@@ -310,7 +316,6 @@
         }
         const auto& spec = job->spec_of(run.task.step);
         group.priority = job->job().policy.priority;
-        group.customer = customer_index(job->job().customer);
         group.preemptible = !spec.long_running;
         group.lost_core_seconds += lost_core_seconds(spec, record);
         group.expected_end =
@@ -321,6 +326,33 @@
         }
     }
 
+    // Counts the run under the limit of its customer: every run counts that may
+    // exist, whatever became of its task or job. A run of a job that was never
+    // accepted here has no customer.
+    void charge(const run_id& run, const job_progress* open, run_group& group)
+    {
+        const step_job* job = open == nullptr ? nullptr : &open->job();
+        resources charged;
+        if (job == nullptr && records_.directory != nullptr)
+        {
+            const auto* record = records_.directory->find(run.task.job);
+            job = record != nullptr && record->job ? &*record->job : nullptr;
+            charged = record != nullptr ? record->largest_need : resources{};
+        }
+        if (job == nullptr)
+        {
+            return;
+        }
+        const auto step = static_cast<std::size_t>(run.task.step);
+        if (step < job->spec.steps.size())
+        {
+            charged = charged_for_task(job->spec.steps[step]);
+        }
+        group.customer = customer_index(job->customer);
+        group.charged += charged;
+        view_.input.customers[group.customer].held += charged;
+    }
+
     // Index of the group that the run belongs to, which is added if it is new.
     // `job` is null for a run that is not the current one of its task.
     std::size_t group_index(const job_progress* job,
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -4,6 +4,7 @@
 #define POPLARRAMP_DOMAIN_PLANNING_VIEW_HPP
 
 #include "domain/deployment_view.hpp"
+#include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/server_registry.hpp"
 #include "policy/step_planner.hpp"
@@ -34,6 +35,12 @@
     // Factor on the run time of a task far from its data, or of a gang that
     // spans several racks.
     double remote_slowdown = 1;
+    // Share of its limit by which a customer may exceed it, for a gang that is
+    // wider than the limit.
+    double limit_overage = 0;
+    // All accepted jobs, to find the customers of runs whose job has ended; may
+    // be null.
+    const job_directory* directory = nullptr;
 };
 
 // Valid until the records change.
--- a/src/entry/site_vm.cpp
+++ b/src/entry/site_vm.cpp
@@ -368,6 +368,7 @@
     settings.regions = settings_.regions;
     settings.max_lease = settings_.bounds.max_lease;
     settings.remote_slowdown = settings_.bounds.remote_slowdown;
+    settings.limit_overage = settings_.bounds.limit_overage;
     settings.retention = 2 * settings_.bounds.status_retention;
     // A long poll in flight would delay the start of the scheduler.
     job_rows_.restart();
--- a/src/policy/capacity_search.hpp
+++ b/src/policy/capacity_search.hpp
@@ -29,6 +29,8 @@
     std::vector<std::size_t> servers;
     // Accelerators of all members together.
     std::int64_t accelerators = 0;
+    // What all members together count with under their customer's limit.
+    resources charged;
     // Work that is lost if the group is stopped now, in core seconds.
     double lost_core_seconds = 0;
     // When the group is expected to end by itself.
--- a/src/policy/guarantee_claims.hpp
+++ b/src/policy/guarantee_claims.hpp
@@ -4,6 +4,8 @@
 #ifndef POPLARRAMP_POLICY_GUARANTEE_CLAIMS_HPP
 #define POPLARRAMP_POLICY_GUARANTEE_CLAIMS_HPP
 
+#include "model/step_job.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -16,6 +18,12 @@
     std::int64_t guaranteed = 0;
     // Accelerators of its urgent runs that are not being stopped.
     std::int64_t used = 0;
+    // Share of the fleet relative to the weights of other customers; 0: none.
+    double weight = 0;
+    // The most that its tasks may use over all servers; 0: no limit.
+    resources limit = {};
+    // What its runs use, and those that may exist or are being stopped.
+    resources held = {};
 };
 
 // Not thread safe. Precondition of all methods: the customer's index is valid.
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -66,8 +66,10 @@
     round_ = {};
     round_.input = std::move(input);
     round_.claims = guarantee_claims(round_.input.customers);
+    start_ledger();
     validate_reservations();
     claim_guarantees();
+    drop_blocked_reservations();
     update_reservation_levels();
     keep_headroom();
     int excluded = -1;
@@ -116,6 +118,11 @@
     for (const auto index : urgent)
     {
         const auto& request = steps[index].request;
+        if (!round_.limits.can_ever_run(
+                steps[index].customer, *request.step, request.tasks))
+        {
+            continue;
+        }
         round_.in_guarantee[index] = round_.claims.claim(
             steps[index].customer,
             request.tasks * request.step->need.accelerators);
@@ -160,12 +167,7 @@
         urgent +=
             group.priority == 0 && !group.stopping ? group.accelerators : 0;
     }
-    for (const auto& step : round_.input.steps)
-    {
-        urgent += step.priority == 0 ? step.request.tasks *
-                                           step.request.step->need.accelerators
-                                     : 0;
-    }
+    urgent += waiting_urgent_accelerators();
     headroom_.record(round_.input.now, urgent);
     if (round_.input.utilization >= busy_utilization)
     {
@@ -258,12 +260,31 @@
 }
 
 void step_planner::plan_step(std::size_t index)
+{
+    const auto room = room_under_limit(index);
+    if (room.after_stops == 0)
+    {
+        const auto own = reservations_.find(round_.input.steps[index].id);
+        if (own != reservations_.end())
+        {
+            close_reservation(own);
+        }
+        return;
+    }
+    round_.input.steps[index].request.tasks = room.now;
+    place_or_reserve(index, room);
+}
+
+void step_planner::place_or_reserve(std::size_t index, const limit_room& room)
 {
     const auto& step = round_.input.steps[index];
     if (step.request.isolated != isolation::none)
     {
         // A reservation would count on runs of others to end.
-        place_free(index, true);
+        if (room.now > 0)
+        {
+            place_free(index, true);
+        }
         return;
     }
     const auto own = reservations_.find(step.id);
@@ -272,7 +293,8 @@
     {
         exclude(own->second, true);
     }
-    const int missing = step.request.tasks - place_free(index, has_reservation);
+    const int placed = room.now > 0 ? place_free(index, has_reservation) : 0;
+    const int missing = room.after_stops - placed;
     if (has_reservation)
     {
         exclude(own->second, false);
@@ -361,6 +383,7 @@
             server.free = {};
         }
     }
+    round_.limits.add_placed(step.customer, *step.request.step, result.tasks);
     if (step.priority == 0)
     {
         round_.claims.add_use(step.customer, result.tasks * need.accelerators);
--- a/src/policy/step_planner.hpp
+++ b/src/policy/step_planner.hpp
@@ -6,6 +6,7 @@
 
 #include "base/time.hpp"
 #include "policy/capacity_search.hpp"
+#include "policy/customer_limits.hpp"
 #include "policy/fit_cache.hpp"
 #include "policy/guarantee_claims.hpp"
 #include "policy/step_placement.hpp"
@@ -67,6 +68,9 @@
     std::vector<waiting_step> steps;
     // Guarantees of the customers, and what their urgent runs use.
     std::vector<customer_use> customers;
+    // Share of its limit that a customer may exceed it by for a gang that alone
+    // is wider.
+    double limit_overage = 0;
     // Share of all accelerators that is in use.
     double utilization = 0;
 };
@@ -96,6 +100,8 @@
 {
     std::vector<planned_placement> placements;
     std::vector<planned_preemption> preemptions;
+    // Indices of waiting steps of which tasks wait for their customer's limit.
+    std::vector<std::size_t> limited;
     // The plan was cut short and has changed something; another one is due at
     // once.
     bool incomplete = false;
@@ -128,6 +134,14 @@
         bool preempted = false;
     };
 
+    // How many tasks of a step its customer's limit lets start now, and once
+    // the runs that are being stopped have ended.
+    struct limit_room
+    {
+        int now = 0;
+        int after_stops = 0;
+    };
+
     using reservation_map = std::map<step_id, reservation>;
 
     // State of the plan in progress.
@@ -135,6 +149,10 @@
     {
         planning_input input;
         guarantee_claims claims{{}};
+        customer_limits limits;
+        // By customer: a gang waits for its room, which later steps of the
+        // customer must not take.
+        std::vector<bool> room_kept;
         // By waiting step.
         std::vector<bool> in_guarantee;
         fit_cache free_capacity;
@@ -158,6 +176,15 @@
     void exclude(const reservation& reserved, bool add_back);
 
     void plan_step(std::size_t index);
+
+    // Limits of the customers (step_planner_limits.cpp).
+    void start_ledger();
+    // Urgent tasks that the limits let run, in accelerators.
+    std::int64_t waiting_urgent_accelerators() const;
+    void drop_blocked_reservations();
+    limit_room room_under_limit(std::size_t index);
+
+    void place_or_reserve(std::size_t index, const limit_room& room);
     // Returns the number of tasks that are placed on free resources.
     int place_free(std::size_t index, bool has_reservation);
     std::optional<placement_result> search(const placement_request& request,
--- /dev/null
+++ b/src/policy/step_planner_limits.cpp
@@ -0,0 +1,126 @@
+// Limits of the customers: how many tasks of a step may start, and which steps
+// wait for room under the limit.
+#include "policy/step_planner.hpp"
+
+#include <algorithm>
+
+namespace poplarramp
+{
+
+namespace
+{
+
+// How long a gang keeps the room under its customer's limit from the customer's
+// later steps: twice the run time of usual gangs. Then it competes without, so
+// that a run that never ends does not hold up all jobs of the customer.
+constexpr milliseconds max_room_wait{20000};
+
+} // namespace
+
+void step_planner::start_ledger()
+{
+    const auto& input = round_.input;
+    round_.limits = customer_limits(input.customers, input.limit_overage);
+    round_.room_kept.assign(input.customers.size(), false);
+    if (!round_.limits.any_limited())
+    {
+        return;
+    }
+    for (const auto& group : input.groups)
+    {
+        // The end of a run on a server that does not reply is not known soon.
+        if (group.stopping && !group.servers.empty())
+        {
+            round_.limits.add_stopping(group.customer, group.charged);
+        }
+    }
+}
+
+std::int64_t step_planner::waiting_urgent_accelerators() const
+{
+    std::int64_t accelerators = 0;
+    auto counted = round_.limits;
+    for (const auto& step : round_.input.steps)
+    {
+        if (step.priority != 0)
+        {
+            continue;
+        }
+        const auto& spec = *step.request.step;
+        int tasks = step.request.tasks;
+        if (counted.any_limited())
+        {
+            tasks =
+                counted.tasks_allowed_after_stops(step.customer, spec, tasks);
+            counted.add_expected(step.customer, spec, tasks);
+        }
+        accelerators += tasks * spec.need.accelerators;
+    }
+    return accelerators;
+}
+
+// A reservation must not hide servers from others while its step waits for
+// room, or for more tasks than have room.
+void step_planner::drop_blocked_reservations()
+{
+    if (!round_.limits.any_limited())
+    {
+        return;
+    }
+    const auto& steps = round_.input.steps;
+    for (std::size_t i = 0; i < steps.size(); ++i)
+    {
+        const auto& request = steps[i].request;
+        const auto found = reservations_.find(steps[i].id);
+        if (found == reservations_.end() || request.isolated != isolation::none)
+        {
+            continue;
+        }
+        int reserved = 0;
+        for (const auto& part : found->second.places)
+        {
+            reserved += part.count;
+        }
+        if (reserved > round_.limits.tasks_allowed_after_stops(
+                           steps[i].customer, *request.step, request.tasks))
+        {
+            reservations_.erase(found);
+        }
+    }
+}
+
+step_planner::limit_room step_planner::room_under_limit(std::size_t index)
+{
+    const auto& step = round_.input.steps[index];
+    const auto& spec = *step.request.step;
+    const auto& limits = round_.limits;
+    const int tasks = step.request.tasks;
+    if (!limits.any_limited())
+    {
+        return {tasks, tasks};
+    }
+    const bool in_guarantee = round_.in_guarantee[index];
+    if (round_.room_kept[step.customer] && !in_guarantee)
+    {
+        round_.decisions.limited.push_back(index);
+        return {};
+    }
+    // Room that other steps wait for is not used either.
+    const int after_stops =
+        limits.tasks_allowed_after_stops(step.customer, spec, tasks);
+    const int now =
+        std::min(limits.tasks_allowed(step.customer, spec, tasks), after_stops);
+    if (now < tasks)
+    {
+        round_.decisions.limited.push_back(index);
+    }
+    if (now == 0 && spec.gang &&
+        round_.input.now - step.ready_since < max_room_wait &&
+        limits.can_ever_run(step.customer, spec, tasks))
+    {
+        round_.room_kept[step.customer] = true;
+    }
+    return {now, now};
+}
+
+} // namespace poplarramp
--- a/tests/domain_simulation.cpp
+++ b/tests/domain_simulation.cpp
@@ -205,6 +205,7 @@
                          std::nullopt,
                          0};
     sim.check_capacity(*this);
+    sim.check_limit(active[order.run]);
     sim.crash_if_due(*this, order.run);
     return reply;
 }
@@ -1331,9 +1332,11 @@
         const auto& steps = (*json)["steps"];
         item.accelerators =
             steps[run.task.step].get("accelerators", 0).asInt64();
-        used += {steps[run.task.step].get("cpu", 0).asInt64(),
-                 steps[run.task.step].get("memory", 0).asInt64(),
-                 item.accelerators};
+        item.need = {steps[run.task.step].get("cpu", 0).asInt64(),
+                     steps[run.task.step].get("memory", 0).asInt64(),
+                     item.accelerators};
+        item.customer = (*json)["customer"].asString();
+        used += item.need;
     }
     if (!server.capacity_limit(now).covers(used))
     {
@@ -1342,6 +1345,43 @@
     }
 }
 
+resources domain_simulation::running(const std::string& customer) const
+{
+    resources used;
+    for (const auto& [id, server] : servers)
+    {
+        for (const auto& [run, item] : server.active)
+        {
+            if (server.up && item.customer == customer)
+            {
+                used += item.need;
+            }
+        }
+    }
+    return used;
+}
+
+void domain_simulation::check_limit(const fake_run& started)
+{
+    const auto limit = checked_limits.find(started.customer);
+    if (limit == checked_limits.end())
+    {
+        return;
+    }
+    const auto used = running(started.customer);
+    const auto exceeds = [](std::int64_t value, std::int64_t most)
+    {
+        return most > 0 && value > most;
+    };
+    if (exceeds(used.cpu_millis, limit->second.cpu_millis) ||
+        exceeds(used.memory_mb, limit->second.memory_mb) ||
+        exceeds(used.accelerators, limit->second.accelerators))
+    {
+        violations.push_back(text_of(started.run.task) +
+                             " takes its customer over its limit");
+    }
+}
+
 step_job_spec one_step(int tasks, int accelerators, bool gang)
 {
     step_job_spec spec;
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -45,6 +45,8 @@
     std::string checkpoint;
     std::optional<std::int64_t> stops_at;
     std::int64_t accelerators = 0;
+    resources need = {};
+    std::string customer = {};
 };
 
 struct fake_run_end
@@ -194,6 +196,8 @@
     // the same address, or as a new incarnation of its own id.
     milliseconds crash_downtime{3200};
     bool crashed_servers_change_id = true;
+    // The most that customers may run over all servers; checked at each start.
+    std::map<std::string, resources> checked_limits;
     violation_list violations;
 
     // Tasks with a successful end that a scheduler has acknowledged.
@@ -247,6 +251,9 @@
     void on_start(const fake_server& server, const run_id& run);
     void on_end(const fake_run& run, run_outcome outcome);
     void check_capacity(fake_server& server);
+    // Resources that a customer's runs really use.
+    resources running(const std::string& customer) const;
+    void check_limit(const fake_run& started);
     // Ends all that runs on the server. Its entry expires unless it is back
     // before.
     void crash_server(const std::string& id);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -110,7 +110,9 @@
         R"("stretch":1.5,"goal_ms":600,"allow_anonymous":true}],)"
         R"("services":[{"name":"svc","standby":false}],)"
         R"("tenants":[{"name":"t","api_keys":["k"],)"
-        R"("guaranteed":{"gpus":72}}]})";
+        R"("guaranteed":{"gpus":72},"weight":2.5,)"
+        R"("cap":{"cpu":64000,"mem_mb":0,"gpus":40}},)"
+        R"({"name":"u","api_keys":["l"],"weight":0}]})";
     const auto operator_entry =
         rows.decode_operator_row({"op/config", text, 1}, why);
     const auto& config = std::get<deployment_config>(*operator_entry);
@@ -119,6 +121,10 @@
     CHECK_EQUAL(600, config.queues[0].policy.latency_slack.count());
     CHECK(config.queues[0].allow_anonymous);
     CHECK_EQUAL(72, config.customers[0].guaranteed_accelerators);
+    CHECK_EQUAL(2.5, config.customers[0].weight);
+    CHECK(config.customers[0].limit == (resources{64000, 0, 40}));
+    CHECK_EQUAL(0, config.customers[1].weight);
+    CHECK(config.customers[1].limit == resources{});
     const auto zone = rows.decode_operator_row({"op/evacuate/z", "{}", 1}, why);
     STRCMP_EQUAL("z", std::get<zone_evacuation>(*zone).zone.c_str());
     CHECK(!rows.decode_operator_row({"op/wave/1", "{}", 1}, why));
