--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -28,7 +28,9 @@
                                     deployment_,
                                     settings_.regions,
                                     settings_.remote_slowdown,
-                                    speeds_});
+                                    speeds_,
+                                    settings_.limit_overage,
+                                    &jobs_});
     if (view.input.steps.empty())
     {
         return;
