--- a/src/config/site_settings.hpp
+++ b/src/config/site_settings.hpp
@@ -71,6 +71,8 @@
     // The leader learns the speed of the backend servers and uses it where
     // speeds differ by more than the queues bear.
     bool learn_speeds = false;
+    // When there is too little capacity, what costs callers least waits.
+    bool weigh_value = false;
     site_limit_settings limits;
     site_bound_settings bounds;
     log_settings log{log_level::info, "stdout"};
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -43,6 +43,8 @@
     // Learn the speed of the servers, and use it where speeds differ by more
     // than the queues bear.
     bool learn_speeds = false;
+    // Weigh what callers lose by waiting when there is too little capacity.
+    bool weigh_value = false;
     // Share of its limit by which a customer may exceed it, for a gang that is
     // wider than the limit.
     double limit_overage = 0;
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -30,6 +30,7 @@
                                     settings_.remote_slowdown,
                                     speeds_,
                                     settings_.limit_overage,
+                                    settings_.weigh_value,
                                     &jobs_});
     if (view.input.steps.empty())
     {
@@ -151,6 +152,11 @@
     hooks_.count("preemptions", static_cast<double>(victims.size()));
     for (const auto& [server, run] : victims)
     {
+        const auto victim = open_jobs_.find(run.task.job);
+        if (victim != open_jobs_.end())
+        {
+            victim->second.record_preemption(run.task);
+        }
         request_stop(server, run, "a more urgent job needs the room");
     }
 }
--- a/src/domain/job_progress.cpp
+++ b/src/domain/job_progress.cpp
@@ -179,6 +179,12 @@
 
 job_progress::job_progress(step_job job) : job_(std::move(job))
 {
+    const auto& policy = job_.policy;
+    deadline_unix_ms_ =
+        job_.accepted_unix_ms + policy.latency_slack.count() +
+        static_cast<std::int64_t>(
+            policy.stretch *
+            static_cast<double>(critical_path(job_.spec).count()));
 }
 
 const step_spec& job_progress::spec_of(int step) const
@@ -489,6 +495,14 @@
     }
 }
 
+void job_progress::record_preemption(const task_name& name)
+{
+    if (auto* task = mutable_task(name))
+    {
+        task->stopped_for_others = true;
+    }
+}
+
 void job_progress::save_checkpoint(const run_id& run,
                                    const std::string& checkpoint)
 {
--- a/src/domain/job_progress.hpp
+++ b/src/domain/job_progress.hpp
@@ -32,6 +32,9 @@
     int failures = 0;
     std::string checkpoint;
     crash_evidence crashes;
+    // A run was stopped for a more urgent job; not stored, so that a new leader
+    // may stop the task once more.
+    bool stopped_for_others = false;
     // How the newest run uses its server.
     server_use use = server_use::shared;
 };
@@ -83,6 +86,12 @@
     }
     const step_spec& spec_of(int step) const;
 
+    // Latency objective of the job, in Unix milliseconds.
+    std::int64_t deadline_unix_ms() const
+    {
+        return deadline_unix_ms_;
+    }
+
     // Opens the repetitions that are due at `now_unix_ms`. Returns when the
     // next one is due, in Unix milliseconds; nothing if none is left or the job
     // is not periodic.
@@ -139,6 +148,9 @@
     // Servers that were lost under any task.
     std::vector<server_incarnation> lost_servers() const;
 
+    // Records that a run of the task is stopped for a more urgent job.
+    void record_preemption(const task_name& name);
+
     // Records the checkpoint of a task; the tasks of a gang share one.
     void save_checkpoint(const run_id& run, const std::string& checkpoint);
 
@@ -188,6 +200,7 @@
     void for_each_task(const std::function<void(task_progress& task)>& visit);
 
     step_job job_;
+    std::int64_t deadline_unix_ms_ = 0;
     std::map<int, repetition_progress> repetitions_;
     // Number of repetitions opened, and of those that are done.
     int opened_count_ = 0;
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -60,6 +60,7 @@
     {
         view_.input.now = records.now;
         view_.input.unix_now = records.unix_now;
+        view_.input.weigh_value = records.weigh_value;
         view_.input.limit_overage = records.limit_overage;
     }
 
@@ -203,11 +204,7 @@
         item.priority = job.policy.priority;
         item.customer = customer_index(job.customer);
         item.accepted_unix_ms = job.accepted_unix_ms;
-        item.deadline_unix_ms =
-            job.accepted_unix_ms + job.policy.latency_slack.count() +
-            static_cast<std::int64_t>(
-                job.policy.stretch *
-                static_cast<double>(critical_path(job.spec).count()));
+        item.deadline_unix_ms = progress.deadline_unix_ms();
         item.request.tolerated_slowdown =
             tolerated_slowdown(job, item.deadline_unix_ms);
         item.ready_since = since;
@@ -339,6 +336,11 @@
         const auto& spec = job->spec_of(run.task.step);
         group.priority = job->job().policy.priority;
         group.preemptible = !spec.long_running;
+        group.job = {job->job().accepted_unix_ms, job->deadline_unix_ms()};
+        group.estimate = spec.estimate;
+        group.left_after_stop =
+            std::max(group.left_after_stop, left_after_stop(spec, record));
+        group.stopped_before = group.stopped_before || task->stopped_for_others;
         group.lost_core_seconds += lost_core_seconds(spec, record);
         group.expected_end =
             std::max(group.expected_end, expected_end(spec, server, record));
@@ -442,6 +444,16 @@
                                       record.percent;
     }
 
+    // Run time of a new start of the task.
+    static milliseconds left_after_stop(const step_spec& spec,
+                                        const server_run& record)
+    {
+        return spec.checkpoints
+                   ? spec.estimate * (hundred_percent - record.percent) /
+                         hundred_percent
+                   : spec.estimate;
+    }
+
     // A step with a limit of tasks per server has to know its own.
     void count_existing_tasks()
     {
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -39,6 +39,8 @@
     // Share of its limit by which a customer may exceed it, for a gang that is
     // wider than the limit.
     double limit_overage = 0;
+    // Weigh what callers lose by waiting.
+    bool weigh_value = false;
     // All accepted jobs, to find the customers of runs whose job has ended; may
     // be null.
     const job_directory* directory = nullptr;
--- a/src/entry/site_vm.cpp
+++ b/src/entry/site_vm.cpp
@@ -369,6 +369,7 @@
     settings.max_lease = settings_.bounds.max_lease;
     settings.remote_slowdown = settings_.bounds.remote_slowdown;
     settings.learn_speeds = settings_.learn_speeds;
+    settings.weigh_value = settings_.weigh_value;
     settings.limit_overage = settings_.bounds.limit_overage;
     settings.retention = 2 * settings_.bounds.status_retention;
     // A long poll in flight would delay the start of the scheduler.
--- a/src/policy/capacity_search.hpp
+++ b/src/policy/capacity_search.hpp
@@ -4,6 +4,7 @@
 #define POPLARRAMP_POLICY_CAPACITY_SEARCH_HPP
 
 #include "base/time.hpp"
+#include "policy/job_value.hpp"
 #include "policy/step_placement.hpp"
 
 #include <cstddef>
@@ -35,6 +36,13 @@
     double lost_core_seconds = 0;
     // When the group is expected to end by itself.
     time_point expected_end{};
+    job_times job;
+    // Estimated run time of a member from the start, and what a new start would
+    // have left of it now.
+    milliseconds estimate{0};
+    milliseconds left_after_stop{0};
+    // A task of it was stopped for another step before.
+    bool stopped_before = false;
     // It is being stopped, so that its resources become free soon.
     bool stopping = false;
     // May be stopped for another step.
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -50,19 +50,9 @@
 // end has not, or other capacity has become cheaper.
 constexpr milliseconds search_interval{500};
 
-// Limits reservations that wait for runs to end, since their free capacity
-// stays idle.
-constexpr int max_waiting_reservations = 3;
-
 // Searches for occupied capacity in one plan. Each looks at all runs.
 constexpr int max_searches = 12;
 
-// Limit on the work lost by preemption for an urgent step outside of its
-// customer's guarantee, as a multiple of the step's own work. Steps that are
-// not urgent stop no runs: replays of an overloaded fleet lost more work by
-// that than they gained.
-constexpr double max_loss_factor = 1.5;
-
 // Cost of a stop beside the lost work, as run time: the place is not used while
 // the run stops, waits and starts again, and a gang has to be assembled anew.
 constexpr double stop_overhead_s = 1;
@@ -100,6 +90,10 @@
                                               round_.input.groups,
                                               round_.input.now + long_run_time);
     start_ledger();
+    for (const auto& step : round_.input.steps)
+    {
+        round_.last_level = std::max(round_.last_level, step.priority + 2);
+    }
     validate_reservations();
     claim_guarantees();
     drop_blocked_reservations();
@@ -165,12 +159,6 @@
     }
 }
 
-bool step_planner::misses_deadline(const waiting_step& step) const
-{
-    return round_.input.unix_now + step.request.step->estimate.count() >
-           step.deadline_unix_ms;
-}
-
 std::vector<std::size_t> step_planner::ranked_steps() const
 {
     const auto& steps = round_.input.steps;
@@ -182,11 +170,8 @@
     const auto rank = [this, &steps](std::size_t index)
     {
         const auto& step = steps[index];
-        return std::tuple<int, bool, std::int64_t, const step_id&>(
-            level_of(index),
-            misses_deadline(step),
-            step.deadline_unix_ms,
-            step.id);
+        return std::tuple<int, job_prospect, std::int64_t, const step_id&>(
+            level_of(index), prospect_of(step), step.deadline_unix_ms, step.id);
     };
     std::sort(order.begin(),
               order.end(),
@@ -306,8 +291,13 @@
 // steps, then the other priorities.
 int step_planner::level_of(std::size_t index) const
 {
-    return round_.in_guarantee[index] ? 0
-                                      : round_.input.steps[index].priority + 1;
+    const auto& step = round_.input.steps[index];
+    if (round_.in_guarantee[index])
+    {
+        return 0;
+    }
+    return prospect_of(step) == job_prospect::lost ? round_.last_level
+                                                   : step.priority + 1;
 }
 
 // A step may come into its customer's guarantee, or leave it, while it waits.
@@ -489,14 +479,6 @@
         {index, step.id, result, round_.in_guarantee[index], isolated});
 }
 
-int step_planner::waiting_reservations() const
-{
-    return static_cast<int>(std::count_if(reservations_.begin(),
-                                          reservations_.end(),
-                                          [](const auto& item)
-                                          { return !item.second.preempted; }));
-}
-
 // An urgent step always gets a reservation; of the others only gangs, which the
 // tasks of less urgent jobs would starve.
 void step_planner::reserve(std::size_t index, int tasks)
@@ -510,7 +492,7 @@
     {
         return;
     }
-    if (!urgent && (!step.request.step->gang || misses_deadline(step)))
+    if (!urgent && (!step.request.step->gang || !is_worth_reserving(step)))
     {
         return;
     }
@@ -533,7 +515,7 @@
         return;
     }
     if (!may_wait_reserved(index) ||
-        (!urgent && waiting_reservations() >= max_waiting_reservations))
+        (!urgent && !may_add_waiting_reservation()))
     {
         return;
     }
@@ -559,12 +541,10 @@
     double lost = 0;
     for (const auto group : claim->groups)
     {
-        lost += loss_of(round_.input.groups[group]);
+        const auto& victim = round_.input.groups[group];
+        lost += loss_of(victim) + value_lost_by_stop(index, victim);
     }
-    const auto& spec = *step.request.step;
-    const double own = static_cast<double>(spec.estimate.count()) / ms_per_s *
-                       spec.need.equivalent_cores() * tasks;
-    if (!round_.in_guarantee[index] && lost > max_loss_factor * own)
+    if (lost > loss_limit(index, tasks))
     {
         return false;
     }
@@ -650,7 +630,10 @@
                             static_cast<double>(victim.servers.size());
     if (victim.priority > step.priority)
     {
-        return cost;
+        return victim.stopped_before && round_.input.weigh_value &&
+                       !round_.in_guarantee[index]
+                   ? std::nullopt
+                   : std::optional(cost + value_lost_by_stop(index, victim));
     }
     if (!round_.in_guarantee[index] || victim.priority != 0 ||
         victim.customer == step.customer)
--- a/src/policy/step_planner.hpp
+++ b/src/policy/step_planner.hpp
@@ -9,6 +9,7 @@
 #include "policy/customer_limits.hpp"
 #include "policy/fit_cache.hpp"
 #include "policy/guarantee_claims.hpp"
+#include "policy/job_value.hpp"
 #include "policy/step_placement.hpp"
 #include "policy/urgent_headroom.hpp"
 
@@ -72,6 +73,9 @@
     // Share of its limit that a customer may exceed it by for a gang that alone
     // is wider.
     double limit_overage = 0;
+    // Weigh what callers lose: work whose result is of no more use comes last,
+    // and runs are stopped only if more is gained than lost.
+    bool weigh_value = false;
     // Share of all accelerators that is in use.
     double utilization = 0;
 };
@@ -187,6 +191,8 @@
         std::vector<bool> room_kept;
         // By waiting step.
         std::vector<bool> in_guarantee;
+        // Level of the steps whose result is of no more use.
+        int last_level = 0;
         fit_cache free_capacity;
         fit_cache empty_servers;
         // Room beside the runs that take long to end; empty if there are none.
@@ -246,9 +252,13 @@
     std::optional<double> wait_cost(std::size_t group) const;
     void stop_groups(std::size_t index, const capacity_claim& claim);
     bool misses_deadline(const waiting_step& step) const;
+    bool is_worth_reserving(const waiting_step& step) const;
+    bool may_add_waiting_reservation() const;
+    job_prospect prospect_of(const waiting_step& step) const;
+    double loss_limit(std::size_t index, int tasks) const;
+    double value_lost_by_stop(std::size_t index, const run_group& victim) const;
     double loss_of(const run_group& group) const;
     bool ends_soon(const run_group& group) const;
-    int waiting_reservations() const;
     bool is_wide(std::size_t index, int tasks) const;
     bool may_wait_reserved(std::size_t index) const;
     void limit_waiting(reservation& reserved, const step_id& id);
