Keep fast servers for urgent steps; replay fleets of uneven speed

The spread of the fleet is corrected for the errors of the estimates: fleets of 0.8, 1.0 and 1.25 came into force in single replays, since the errors of young estimates widen the percentiles. Headroom takes slow servers only if the others are not sufficient.

--- a/measure/fleet_day.hpp
+++ b/measure/fleet_day.hpp
@@ -70,6 +70,10 @@
     std::vector<job_kind> kinds;
     std::vector<load_burst> bursts;
     std::vector<server_loss> losses;
+    // Factors on run times, drawn for each server; empty: all are 1.
+    std::vector<double> speeds;
+    // The planner uses the speeds that are learned from progress.
+    bool learn_speeds = false;
     time_point end_of_arrivals{};
     // The replay ends here.
     time_point end{};
--- a/measure/fleet_replay.cpp
+++ b/measure/fleet_replay.cpp
@@ -1,9 +1,11 @@
 #include "fleet_replay.hpp"
 
+#include "policy/server_speed.hpp"
 #include "policy/step_planner.hpp"
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <queue>
@@ -49,6 +51,9 @@
     milliseconds length{0};
     // Differs for each attempt, so that outdated events are ignored.
     std::uint64_t number = 0;
+    // Run time on this server alone, without waiting for a gang.
+    milliseconds own_length{0};
+    progress_mark mark;
 };
 
 struct task_state
@@ -76,6 +81,8 @@
 {
     bool up = true;
     resources free;
+    double factor = 1;
+    speed_estimate speed;
     // Job and task of each run.
     std::set<std::pair<std::size_t, std::size_t>> runs;
 };
@@ -92,6 +99,13 @@
         {
             server.free = day.capacity;
         }
+        std::mt19937_64 speeds(seed + 2);
+        for (auto& server : servers_)
+        {
+            server.factor = day.speeds.empty()
+                                ? 1
+                                : day.speeds[speeds() % day.speeds.size()];
+        }
         const auto all = day.servers * day.capacity.accelerators;
         guarantee_ = static_cast<std::int64_t>(
             static_cast<double>(all) * day.guaranteed_share / day.customers);
@@ -118,6 +132,10 @@
             at(tick, [this] { request_plan(); });
         }
         at(day_.end_of_arrivals, [this] { record_backlog(); });
+        if (day_.learn_speeds)
+        {
+            schedule_lists();
+        }
         while (!events_.empty() && events_.begin()->first <= day_.end)
         {
             now_ = events_.begin()->first;
@@ -213,6 +231,12 @@
                 static_cast<std::int64_t>(
                     kind.stretch *
                     static_cast<double>(jobs_[job].step.estimate.count()));
+            const auto left =
+                static_cast<double>(step.deadline_unix_ms - input.unix_now);
+            const auto work =
+                static_cast<double>(jobs_[job].step.estimate.count());
+            step.request.tolerated_slowdown =
+                left > work ? left / work : kind.stretch;
             step.ready_since = states_[job].ready_since;
             waiting_jobs_.push_back(job);
             input.steps.push_back(std::move(step));
@@ -239,6 +263,7 @@
             item.service = "svc";
             item.capacity = day_.capacity;
             item.free = servers_[i].free;
+            item.slowdown = speeds_.slowdown(servers_[i].speed, now_);
             all += item.capacity.accelerators;
             used += item.capacity.accelerators - item.free.accelerators;
             for (const auto& [job, task] : servers_[i].runs)
@@ -312,7 +337,13 @@
         const auto listed = age - age % report_interval;
         if (run.state == run_state::placing || listed <= milliseconds(0))
         {
-            return std::max(now_, run.started + step.estimate);
+            const double slowdown =
+                speeds_.slowdown(servers_[run.server].speed, now_);
+            return std::max(now_,
+                            run.started +
+                                milliseconds(std::llround(
+                                    static_cast<double>(step.estimate.count()) *
+                                    slowdown)));
         }
         const auto percent =
             std::max<std::int64_t>(1, percent_of_all * listed / run.length);
@@ -385,6 +416,12 @@
     {
         const auto ready = ready_tasks(job);
         auto next = ready.begin();
+        // A gang runs at the pace of its slowest member.
+        double pace = 0;
+        for (const auto& part : decision.result.parts)
+        {
+            pace = std::max(pace, servers_[server_index_[part.server]].factor);
+        }
         for (const auto& part : decision.result.parts)
         {
             const auto server = server_index_[part.server];
@@ -393,14 +430,21 @@
                 const auto task = *next++;
                 auto& state = states_[job].tasks[task];
                 state.placed = true;
-                state.run = {
-                    server,
-                    run_state::placing,
-                    now_ + start_delay,
-                    milliseconds(std::llround(
-                        static_cast<double>(jobs_[job].runs[task].count()) *
-                        decision.result.remote_slowdown)),
-                    ++run_number_};
+                const double work =
+                    static_cast<double>(jobs_[job].runs[task].count()) *
+                    decision.result.remote_slowdown;
+                const double own = servers_[server].factor;
+                state.run = {server,
+                             run_state::placing,
+                             now_ + start_delay,
+                             milliseconds(std::llround(
+                                 work * (jobs_[job].step.gang ? pace : own))),
+                             ++run_number_,
+                             milliseconds(std::llround(work * own)),
+                             {std::hash<std::string>()(std::to_string(job)) | 1,
+                              0,
+                              0,
+                              false}};
                 servers_[server].free -= jobs_[job].step.need;
                 servers_[server].runs.emplace(job, task);
                 at(now_ + start_delay,
@@ -615,6 +659,82 @@
         }
     }
 
+    void schedule_lists()
+    {
+        for (auto second = time_point{}; second < day_.end;
+             second += milliseconds(1000))
+        {
+            at(second, [this] { classify(); });
+        }
+        // Not of the generator that decides on failures.
+        std::mt19937_64 offsets(1);
+        for (std::size_t i = 0; i < servers_.size(); ++i)
+        {
+            const milliseconds offset(offsets() % static_cast<std::uint64_t>(
+                                                      report_interval.count()));
+            for (auto when = time_point(offset); when < day_.end;
+                 when += report_interval)
+            {
+                at(when, [this, i] { list(servers_[i]); });
+            }
+        }
+    }
+
+    // The server lists its runs with their progress.
+    void list(server_state& server)
+    {
+        for (const auto& [job, task] : server.runs)
+        {
+            auto& run = states_[job].tasks[task].run;
+            const auto worked = now_ - run.started;
+            if (!server.up || run.state != run_state::running ||
+                jobs_[job].step.tasks < 2)
+            {
+                continue;
+            }
+            const auto percent = std::min<std::int64_t>(
+                percent_of_all,
+                percent_of_all * worked.count() / run.own_length.count());
+            const auto sample =
+                sample_progress(run.mark,
+                                static_cast<int>(percent),
+                                now_.time_since_epoch().count());
+            if (sample)
+            {
+                speeds_.observe(
+                    server.speed, run.mark, run.number, *sample, now_);
+            }
+        }
+    }
+
+    void classify()
+    {
+        std::vector<speed_estimate*> estimates;
+        double right = 0;
+        for (auto& server : servers_)
+        {
+            estimates.push_back(&server.speed);
+            right += server.speed.level == std::lround(std::log(server.factor) /
+                                                       std::log(stretch()))
+                         ? 1
+                         : 0;
+        }
+        speeds_.classify(estimates, stretch(), now_);
+        result_.classified.push_back(
+            speeds_.in_force() ? right / static_cast<double>(servers_.size())
+                               : 0);
+    }
+
+    double stretch() const
+    {
+        double result = day_.kinds.front().stretch;
+        for (const auto& kind : day_.kinds)
+        {
+            result = std::min(result, kind.stretch);
+        }
+        return result;
+    }
+
     void sample()
     {
         result_.open_jobs.push_back(static_cast<int>(open_.size()));
@@ -648,6 +768,8 @@
         std::vector<double> owed(day_.kinds.size(), 0);
         std::vector<double> earned(day_.kinds.size(), 0);
         std::map<std::int64_t, std::pair<double, double>> windows;
+        double urgent = 0;
+        double in_time = 0;
         for (std::size_t i = 0; i < jobs_.size(); ++i)
         {
             const auto& job = jobs_[i];
@@ -655,6 +777,9 @@
             const double gain = completed <= job.objective    ? job.worth
                                 : completed <= job.late_limit ? job.late_worth
                                                               : 0;
+            const bool is_urgent = day_.kinds[job.kind].priority == 0;
+            urgent += is_urgent ? 1 : 0;
+            in_time += is_urgent && completed <= job.objective ? 1 : 0;
             owed[job.kind] += job.worth;
             earned[job.kind] += gain;
             auto& [of, got] = windows[job.arrival.time_since_epoch() / window];
@@ -670,6 +795,7 @@
             result_.served_of_kind.push_back(earned[kind] / owed[kind]);
         }
         result_.served = all_earned / all_owed;
+        result_.urgent_in_time = in_time / urgent;
         std::vector<double> shares;
         shares.reserve(windows.size());
         for (const auto& [start, worth] : windows)
@@ -698,6 +824,7 @@
     bool plan_posted_ = false;
     std::uint64_t run_number_ = 0;
     step_planner planner_;
+    server_speed speeds_;
     // Of the newest input: jobs of the steps, indices of the servers, and job
     // and task of the runs in each group.
     std::vector<std::size_t> waiting_jobs_;
--- a/measure/fleet_replay.hpp
+++ b/measure/fleet_replay.hpp
@@ -18,6 +18,10 @@
     // kind.
     double served = 0;
     std::vector<double> served_of_kind;
+    // Share of the urgent jobs that were completed by their objective.
+    double urgent_in_time = 0;
+    // Share of the servers that were in the class of their factor, by second.
+    std::vector<double> classified;
     // The two worst windows of 2 s of arrivals.
     double worst_windows = 0;
     int runs = 0;
--- a/src/policy/server_speed.cpp
+++ b/src/policy/server_speed.cpp
@@ -31,7 +31,7 @@
 // variance of the work (0.17 squared) by that between servers (0.4 squared).
 constexpr double prior_runs = 0.15;
 // Only about so many runs count, so that the estimate follows the server.
-constexpr double max_runs = 3;
+constexpr double max_runs = 2;
 
 // Values of a step that are needed to compare a run with them.
 constexpr std::size_t min_values = 4;
@@ -63,8 +63,8 @@
 // No running task goes unobserved for so long while its server replies.
 constexpr milliseconds step_memory{10000};
 
-// The percentiles of fewer servers say little.
-constexpr std::size_t min_known_servers = 8;
+// The percentiles of fewer servers are off by a quarter or more.
+constexpr std::size_t min_known_servers = 16;
 // Estimates from fewer runs do not count for the spread of the fleet.
 constexpr float min_runs_for_spread = 1;
 constexpr double low_percentile = 0.1;
@@ -82,6 +82,13 @@
                        share};
 }
 
+// An average with weights that fall exponentially has the error of one over
+// twice as many runs.
+double counted_runs(const speed_estimate& server)
+{
+    return server.runs < max_runs ? server.runs : 2 * max_runs;
+}
+
 // The value at this share of the sorted values. Precondition: there are some.
 double percentile(std::vector<double>& values, double share)
 {
@@ -133,7 +140,7 @@
 
 double error_of(const speed_estimate& server)
 {
-    return work_deviation / std::sqrt(server.runs + prior_runs);
+    return work_deviation / std::sqrt(counted_runs(server) + prior_runs);
 }
 
 void server_speed::observe(speed_estimate& server,
@@ -282,13 +289,20 @@
     fleet_ = {};
     std::vector<double> factors;
     factors.reserve(servers.size());
+    double sum = 0;
+    double squares = 0;
+    double error = 0;
     for (const auto* server : servers)
     {
         if (server->runs >= min_runs_for_spread)
         {
             // Without the assumption that the server is like the others.
-            factors.push_back(server->log_factor * (server->runs + prior_runs) /
-                              server->runs);
+            const double factor =
+                server->log_factor * (server->runs + prior_runs) / server->runs;
+            factors.push_back(factor);
+            sum += factor;
+            squares += factor * factor;
+            error += work_deviation * work_deviation / counted_runs(*server);
         }
     }
     fleet_.known = factors.size();
@@ -300,7 +314,13 @@
     const double low = percentile(factors, low_percentile);
     const double high = percentile(factors, high_percentile);
     median_ = percentile(factors, 0.5);
-    fleet_.spread = std::exp(std::max(high - median_, median_ - low));
+    // The errors of the estimates widen the spread.
+    const auto count = static_cast<double>(factors.size());
+    const double variance = squares / count - sum * sum / count / count;
+    const double true_share =
+        variance > 0 ? std::max(0.0, 1 - error / count / variance) : 0;
+    fleet_.spread = std::exp(std::max(high - median_, median_ - low) *
+                             std::sqrt(true_share));
 }
 
 void server_speed::set_level(speed_estimate& server, double tolerated) const
--- a/src/policy/urgent_headroom.cpp
+++ b/src/policy/urgent_headroom.cpp
@@ -82,17 +82,27 @@
     std::sort(order.begin(), order.end());
     kept_racks_.clear();
     auto missing = target();
-    for (const auto& [is_new, excess, rack] : order)
+    // Servers that are slower than the usual ones only if the others are not
+    // sufficient.
+    for (const bool slow : {false, true})
     {
-        for (const auto index : racks[rack])
+        for (const auto& [is_new, excess, rack] : order)
         {
-            if (missing <= 0)
+            for (const auto index : racks[rack])
             {
-                return;
+                if (missing <= 0)
+                {
+                    return;
+                }
+                auto& server = servers[index];
+                if ((server.slowdown > 1) != slow)
+                {
+                    continue;
+                }
+                kept_racks_.insert(server.rack);
+                server.reserved_for_urgent = true;
+                missing -= server.capacity.accelerators;
             }
-            kept_racks_.insert(servers[index].rack);
-            servers[index].reserved_for_urgent = true;
-            missing -= servers[index].capacity.accelerators;
         }
     }
 }
