Report the learned speeds; learn at once what is new

A server that was never observed and is slower than the others by more than a factor of 3 counted as one in a slow phase, so that the fleet did not come into force for 20 s (domain_speed, two of three servers at 4 s a task, one at 13 s). It is now taken at once if two runs agree.

--- a/measure/fleet_day.hpp
+++ b/measure/fleet_day.hpp
@@ -74,6 +74,8 @@
     std::vector<double> speeds;
     // The planner uses the speeds that are learned from progress.
     bool learn_speeds = false;
+    // A new leader takes over, which learns the speeds again.
+    time_point takeover = time_point::max();
     time_point end_of_arrivals{};
     // The replay ends here.
     time_point end{};
--- a/measure/fleet_figures.cpp
+++ b/measure/fleet_figures.cpp
@@ -132,6 +132,11 @@
         {"even", {1.0}},
         {"tolerable", {0.8, 1.0, 1.25}},
         {"slow_third", {1.0, 1.0, 1.3}}};
+    auto takeover = grown_site_day();
+    takeover.speeds = fleets.front().second;
+    takeover.learn_speeds = true;
+    takeover.takeover = at_ms(15000);
+    print_speed_service(out, "speed.uneven.takeover", takeover);
     for (const auto& [name, speeds] : fleets)
     {
         for (const bool learn : {false, true})
--- a/measure/fleet_replay.cpp
+++ b/measure/fleet_replay.cpp
@@ -135,6 +135,10 @@
         if (day_.learn_speeds)
         {
             schedule_lists();
+            if (day_.takeover < day_.end)
+            {
+                at(day_.takeover, [this] { forget_speeds(); });
+            }
         }
         while (!events_.empty() && events_.begin()->first <= day_.end)
         {
@@ -680,6 +684,15 @@
         }
     }
 
+    void forget_speeds()
+    {
+        speeds_ = {};
+        for (auto& server : servers_)
+        {
+            server.speed = {};
+        }
+    }
+
     // The server lists its runs with their progress.
     void list(server_state& server)
     {
--- a/src/entry/site_vm.cpp
+++ b/src/entry/site_vm.cpp
@@ -608,6 +608,14 @@
                   relayed_servers_
                       ? static_cast<double>(relayed_servers_->relays_in_use())
                       : 0);
+    const auto fleet =
+        dispatcher_ ? dispatcher_->speeds().fleet() : fleet_speeds{};
+    counters_.set("servers_of_known_speed", static_cast<double>(fleet.known));
+    counters_.set("servers_slow", static_cast<double>(fleet.slow));
+    counters_.set("servers_fast", static_cast<double>(fleet.fast));
+    counters_.set("server_speed_spread", fleet.spread);
+    counters_.set("server_speeds_in_force",
+                  dispatcher_ && dispatcher_->speeds().in_force() ? 1 : 0);
     counters_.set("jobs_known", static_cast<double>(jobs_.all().size()));
     if (const auto confirmed = operator_rows_.confirmed_at())
     {
--- a/src/policy/server_speed.cpp
+++ b/src/policy/server_speed.cpp
@@ -47,8 +47,11 @@
 constexpr double sudden = 1.1;
 // One observation changes an estimate by no more than its share of this.
 constexpr double max_deviation = 0.8;
-// Runs that still count after a server has become much faster.
-constexpr float runs_after_recovery = 0.3F;
+// Runs that still count after a server has become much faster or slower.
+constexpr float runs_after_change = 0.1F;
+// With fewer observed runs a server has no usual speed yet, from which a slow
+// phase could differ.
+constexpr float min_usual_runs = 1;
 
 // A slow phase is over this long after the last slow observation; running tasks
 // are observed every 2 s at least.
@@ -175,7 +178,7 @@
     server.suspect_run = 0;
     if (deviation < -sudden)
     {
-        server.runs = std::min(server.runs, runs_after_recovery);
+        server.runs = std::min(server.runs, runs_after_change);
     }
     const auto clipped =
         deviation < -sudden
@@ -256,11 +259,13 @@
         server.slow_since = now;
     }
     server.slow_phase = static_cast<float>(excess);
-    if (now - server.slow_since >= max_slow_phase)
+    if (now - server.slow_since >= max_slow_phase ||
+        server.runs < min_usual_runs)
     {
         server.log_factor += server.slow_phase;
-        server.runs = runs_after_recovery;
+        server.runs = runs_after_change;
         server.slow_phase = 0;
+        server.suspect_run = 0;
     }
 }
 
--- a/tests/domain_simulation.cpp
+++ b/tests/domain_simulation.cpp
@@ -470,6 +470,7 @@
     };
     dispatcher_settings settings;
     settings.max_lease = milliseconds(max_lease_ms);
+    settings.learn_speeds = sim.learn_speeds;
     scheduler = std::make_shared<dispatcher>(
         settings, hooks, *leader, *deployment, *jobs);
 }
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -188,6 +188,7 @@
     deployment_config config;
     // The leader makes calls to servers through the other VMs.
     bool use_relays = false;
+    bool learn_speeds = false;
     // Tasks that crash each server that starts them, this long after the start.
     std::map<task_name, milliseconds> crashing_tasks;
     // A server that has crashed is back after this time, under another id at
