--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -5,6 +5,7 @@
 #define POPLARRAMP_DOMAIN_DISPATCHER_HPP
 
 #include "domain/deployment_view.hpp"
+#include "domain/gang_ends.hpp"
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/leadership.hpp"
@@ -21,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -41,6 +43,9 @@
     // Learn the speed of the servers, and use it where speeds differ by more
     // than the queues bear.
     bool learn_speeds = false;
+    // Share of its limit by which a customer may exceed it, for a gang that is
+    // wider than the limit.
+    double limit_overage = 0;
     // How long the rows of a finished job are kept.
     milliseconds retention{300000};
 };
@@ -127,6 +132,9 @@
     void restore_jobs();
     // `progress_row` is null if the job has none.
     void restore_job(const step_job& job, const std::string* progress_row);
+    void restore_ended_job(const std::string& id,
+                           const job_record& job,
+                           const std::string& progress_row);
     void find_restarted_servers();
     void on_server_row(const table_row_change& change);
     void on_server_rows(const std::vector<table_row>& rows);
@@ -171,6 +179,8 @@
     void on_ended(const std::string& id,
                   server_record& server,
                   const listed_end& end);
+    void
+    record_gang_end(const listed_end& end, bool stopping, std::size_t members);
     placed_runs newer_runs(const job_progress& job, const run_id& ended) const;
     void on_failed_run(const std::string& id, server_record& server);
     void resolve_unlisted(const std::string& id,
@@ -179,10 +189,15 @@
                           const renewal_reply& reply);
     std::optional<server_clock> lease_for(const server_record& server) const;
     server_target target_of(const server_record& server) const;
+    void drop_ended_members(const std::string& id, server_record& server);
     void expire_lost_server(const std::string& id, server_record& server);
     void on_lost_runs(const std::string& id,
                       const std::map<run_id, server_run>& runs,
                       bool crashed);
+    void record_losses(const std::string& id,
+                       const std::map<run_id, server_run>& runs,
+                       const std::map<run_id, server_run>& lost,
+                       bool crashed);
     void record_loss(const std::string& id,
                      const run_id& run,
                      loss_role role,
@@ -255,6 +270,7 @@
     void preempt(const planning_view& view,
                  const planned_preemption& decision,
                  const placed_runs& victims);
+    void report_blocked(std::span<const blocked_step> blocked);
 
     const dispatcher_settings settings_;
     const dispatcher_hooks hooks_;
@@ -283,9 +299,12 @@
     // State of each job in the table.
     std::map<std::string, step_job_state> stored_states_;
     std::set<std::string> dirty_jobs_;
+    gang_ends gang_ends_;
     step_planner planner_;
     server_speed speeds_;
     time_point next_classification_{};
+    // Steps that cannot be placed, with the time of the next report.
+    std::map<std::pair<step_id, block_reason>, time_point> blocked_steps_;
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -7,6 +7,7 @@
 #include "domain/job_api.hpp"
 #include "domain/leadership.hpp"
 #include "domain/row_watcher.hpp"
+#include "domain_phase_check.hpp"
 #include "relay/relay_http.hpp"
 
 #include <cstdint>
@@ -45,6 +46,8 @@
     std::string checkpoint;
     std::optional<std::int64_t> stops_at;
     std::int64_t accelerators = 0;
+    resources need = {};
+    std::string customer = {};
 };
 
 struct fake_run_end
@@ -136,6 +139,8 @@
     std::uint64_t vm_incarnation = 0;
     // Takes effect at the next start.
     double processor_share = 1;
+    // Time that passes on the VM while it sends a start order.
+    milliseconds time_per_start{0};
 
     deployment_rows rows;
     std::unique_ptr<deployment_view> deployment;
@@ -195,6 +200,8 @@
     // the same address, or as a new incarnation of its own id.
     milliseconds crash_downtime{3200};
     bool crashed_servers_change_id = true;
+    // The most that customers may run over all servers; checked at each start.
+    std::map<std::string, resources> checked_limits;
     violation_list violations;
 
     // Tasks with a successful end that a scheduler has acknowledged.
@@ -248,6 +255,9 @@
     void on_start(const fake_server& server, const run_id& run);
     void on_end(const fake_run& run, run_outcome outcome);
     void check_capacity(fake_server& server);
+    // Resources that a customer's runs really use.
+    resources running(const std::string& customer) const;
+    void check_limit(const fake_run& started);
     // Ends all that runs on the server. Its entry expires unless it is back
     // before.
     void crash_server(const std::string& id);
@@ -260,6 +270,7 @@
     void revive_server(const std::string& id);
 
     std::multimap<std::int64_t, std::function<void()>> actions_;
+    phase_check phases_;
     int revived_servers_ = 0;
 };
 
