Input budget: clients cannot make a process hold more than its share

Cause: 1,024 connections that stop one byte short of a body of legal size took a process to 290 MB, since Beast reserves the declared length at once and nothing bounded the sum; so did headers of thousands of short fields (227 MB).

Change: one budget for a process over all listeners (http/input_budget), with parts for callers, calls between VMs and probes, sized by limits.memory_mb and limits.descriptors. Connections, long headers, bodies and long replies are charged before they are allocated; when connections or memory run short, the slowest or largest holder is closed in favour of a new one, never one whose request was passed on. Route and key are judged by the header (http_judge) unless the request has arrived as a whole or its body has at most 4 KiB. Refusals are 503 overloaded with Retry-After, gauges input_*, one log line for each part in 5 s.

--- a/src/base/result.cpp
+++ b/src/base/result.cpp
@@ -35,6 +35,7 @@
     named_code{result_code::zone_closed, "zone_closed"},
     named_code{result_code::vm_stopping, "vm_stopping"},
     named_code{result_code::retries_exhausted, "retries_exhausted"},
+    named_code{result_code::overloaded, "overloaded"},
     named_code{result_code::job_failed, "job_failed"},
     named_code{result_code::cancelled, "cancelled"},
     named_code{result_code::outcome_unknown, "outcome_unknown"},
--- a/src/base/result.hpp
+++ b/src/base/result.hpp
@@ -36,6 +36,7 @@
     zone_closed = 204,
     vm_stopping = 205,
     retries_exhausted = 206,
+    overloaded = 207,
 
     job_failed = 300,
     cancelled = 301,
--- a/src/config/site_settings.hpp
+++ b/src/config/site_settings.hpp
@@ -50,6 +50,8 @@
     int memory_mb = 128;
     // Files and connections that the process may have open.
     int descriptors = 4096;
+    // Connections of callers from one address; 0: no limit.
+    int connections_per_address = 0;
 };
 
 struct site_settings
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -7,6 +7,7 @@
 #include "entry/api.hpp"
 #include "entry/vm_host.hpp"
 #include "http/client.hpp"
+#include "http/input_budget.hpp"
 #include "http/server.hpp"
 #include "inner/peer_client.hpp"
 #include "inner/peer_server.hpp"
@@ -14,6 +15,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <memory>
 #include <random>
 #include <utility>
 
@@ -30,6 +32,12 @@
 constexpr std::size_t peer_connections = 4;
 constexpr std::size_t platform_connections = 16;
 
+// Memory for the whole process on which the limits of its input are based; an
+// own machine has more.
+constexpr int memory_mb = 512;
+constexpr int descriptors = 8192;
+constexpr int peer_socket_buffer_bytes = 256 * 1024;
+
 // The configuration, and the lists of an availability zone with thousands of
 // jobs, are larger than requests of callers.
 constexpr std::uint64_t max_peer_body_bytes = 16777216;
@@ -64,6 +72,8 @@
     // `controller::tick` and by requests.
     controller_hooks make_hooks();
     bool listen(failure& why);
+    http_server_settings caller_settings() const;
+    http_server_settings peer_settings() const;
     void reload();
     void begin_stop();
 
@@ -79,6 +89,7 @@
     http_client peer_client_;
     controller controller_;
     api api_;
+    const std::shared_ptr<input_budget> input_budget_;
     http_server api_server_;
     http_server peer_server_;
 };
@@ -95,20 +106,39 @@
           host_.traffic(), host_.control(), client_settings(peer_connections)),
       controller_(controller_settings_of(values), make_hooks()),
       api_(controller_, api_settings_of(values), clock_, monotonic_now),
+      input_budget_(std::make_shared<input_budget>(
+          input_limits_for(memory_mb, descriptors))),
       api_server_(host_.traffic(),
                   host_.control(),
-                  server_settings(
-                      values.listen.callers,
-                      static_cast<std::uint64_t>(values.limits.max_body_bytes)),
+                  caller_settings(),
                   [this](http_request request, api::responder respond)
                   { api_.handle(std::move(request), std::move(respond)); }),
       peer_server_(host_.traffic(),
                    host_.control(),
-                   server_settings(values.listen.inner, max_peer_body_bytes),
+                   peer_settings(),
                    make_peer_server(controller_.handlers(), clock_))
 {
 }
 
+http_server_settings entry_vm::caller_settings() const
+{
+    auto result = server_settings(
+        settings_.listen.callers,
+        static_cast<std::uint64_t>(settings_.limits.max_body_bytes));
+    result.budget = input_budget_;
+    result.part = input_part::callers;
+    return result;
+}
+
+http_server_settings entry_vm::peer_settings() const
+{
+    auto result = server_settings(settings_.listen.inner, max_peer_body_bytes);
+    result.budget = input_budget_;
+    result.part = input_part::machines;
+    result.socket_buffer_bytes = peer_socket_buffer_bytes;
+    return result;
+}
+
 controller_hooks entry_vm::make_hooks()
 {
     http_services_settings platform_settings;
--- a/src/entry/site_vm.cpp
+++ b/src/entry/site_vm.cpp
@@ -8,6 +8,7 @@
 #include "domain/row_watcher.hpp"
 #include "entry/vm_host.hpp"
 #include "http/client.hpp"
+#include "http/input_budget.hpp"
 #include "http/json_reply.hpp"
 #include "http/server.hpp"
 #include "relay/call_relay.hpp"
@@ -19,6 +20,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <memory>
 #include <random>
@@ -43,6 +45,13 @@
 // A report is not repeated: the leader makes calls without a result itself.
 constexpr milliseconds report_timeout{600};
 
+// A body between VMs may take this much in the kernel before it is read; less
+// would slow down batches of a leader far away.
+constexpr int inner_socket_buffer_bytes = 64 * 1024;
+
+// Changes of the refusals are logged at this interval.
+constexpr milliseconds input_log_interval{5000};
+
 // Job bodies have a few kilobytes; the site's configuration allows up to
 // 256 KiB.
 constexpr std::uint64_t max_request_body_bytes = 262144;
@@ -68,6 +77,33 @@
 // second, have failed.
 constexpr milliseconds drain_delay{2200};
 
+struct named_input_part
+{
+    input_part part;
+    const char* name;
+};
+
+constexpr std::array<named_input_part, input_part_count> named_input_parts{{
+    {input_part::callers, "callers"},
+    {input_part::machines, "machines"},
+    {input_part::probes, "probes"},
+}};
+
+std::uint64_t refusals_in(const input_usage& usage)
+{
+    return usage.connections_refused + usage.requests_refused +
+           usage.closed_for_connections + usage.closed_for_memory;
+}
+
+http_server_settings input_settings(http_server_settings values,
+                                    const std::shared_ptr<input_budget>& budget,
+                                    input_part part)
+{
+    values.budget = budget;
+    values.part = part;
+    return values;
+}
+
 class site_vm
 {
 public:
@@ -92,6 +128,11 @@
     void reload();
     void begin_stop();
     void show_metrics(const std::function<void(http_response)>& respond);
+    http_server_settings caller_settings() const;
+    http_server_settings probe_settings(const std::string& address) const;
+    http_server_settings inner_settings() const;
+    void show_input_usage();
+    void log_input_refusals();
 
     // Calls of other VMs.
     std::shared_ptr<call_relay> make_call_relay();
@@ -133,6 +174,9 @@
     std::unique_ptr<row_watcher> member_rows_;
     std::shared_ptr<dispatcher> dispatcher_;
 
+    const std::shared_ptr<input_budget> input_budget_;
+    time_point input_log_due_{};
+    std::array<std::uint64_t, input_part_count> logged_refusals_{};
     http_server api_server_;
     http_server ready_server_;
     http_server metrics_server_;
@@ -181,33 +225,60 @@
           {values.vm, values.listen.inner, values.zone, values.processor_share},
           {store_, monotonic_now}),
       call_relay_(make_call_relay()),
-      api_server_(
-          host_.traffic(),
-          host_.control(),
-          server_settings(values.listen.callers, max_request_body_bytes),
-          adapter_.make_http_api(job_api_, adapter_context_)),
-      ready_server_(
-          host_.traffic(),
-          host_.control(),
-          server_settings(values.listen.ready, max_request_body_bytes),
-          adapter_.make_ready_probe(
-              [this] { return !stopping_ && job_api_.ready(); })),
-      metrics_server_(
-          host_.traffic(),
-          host_.control(),
-          server_settings(values.listen.metrics, max_request_body_bytes),
-          [this](const http_request& /*request*/,
-                 const std::function<void(http_response)>& respond)
-          { show_metrics(respond); }),
+      input_budget_(std::make_shared<input_budget>(input_limits_for(
+          values.limits.memory_mb, values.limits.descriptors))),
+      api_server_(host_.traffic(),
+                  host_.control(),
+                  caller_settings(),
+                  adapter_.make_http_api(job_api_, adapter_context_),
+                  adapter_.make_http_judge(job_api_, adapter_context_)),
+      ready_server_(host_.traffic(),
+                    host_.control(),
+                    probe_settings(values.listen.ready),
+                    adapter_.make_ready_probe(
+                        [this] { return !stopping_ && job_api_.ready(); })),
+      metrics_server_(host_.traffic(),
+                      host_.control(),
+                      probe_settings(values.listen.metrics),
+                      [this](const http_request& /*request*/,
+                             const std::function<void(http_response)>& respond)
+                      { show_metrics(respond); }),
       inner_server_(host_.traffic(),
                     host_.control(),
-                    server_settings(values.listen.inner, max_inner_body_bytes),
+                    inner_settings(),
                     [this](const http_request& request,
                            const std::function<void(http_response)>& respond)
                     { on_inner_call(request, respond); })
 {
 }
 
+http_server_settings site_vm::caller_settings() const
+{
+    auto result = input_settings(
+        server_settings(settings_.listen.callers, max_request_body_bytes),
+        input_budget_,
+        input_part::callers);
+    result.max_connections_per_address =
+        static_cast<std::size_t>(settings_.limits.connections_per_address);
+    return result;
+}
+
+http_server_settings site_vm::probe_settings(const std::string& address) const
+{
+    return input_settings(
+        server_settings(address, 0), input_budget_, input_part::probes);
+}
+
+http_server_settings site_vm::inner_settings() const
+{
+    auto result = input_settings(
+        server_settings(settings_.listen.inner, max_inner_body_bytes),
+        input_budget_,
+        input_part::machines);
+    result.socket_buffer_bytes = inner_socket_buffer_bytes;
+    return result;
+}
+
 adapter_context site_vm::make_adapter_context()
 {
     return {store_client_.send_function(),
@@ -408,6 +479,10 @@
     job_api_.tick();
     member_row_.tick();
     call_relay_->tick();
+    if (monotonic_now() >= input_log_due_)
+    {
+        log_input_refusals();
+    }
     if (member_rows_)
     {
         member_rows_->tick();
@@ -598,8 +673,54 @@
                     });
 }
 
+void site_vm::show_input_usage()
+{
+    for (const auto& part : named_input_parts)
+    {
+        const auto usage = input_budget_->usage(part.part);
+        const auto show = [this, &part](const std::string& what, auto value)
+        {
+            counters_.set("input_" + what + "_" + part.name,
+                          static_cast<double>(value));
+        };
+        show("bytes", usage.bytes);
+        show("bytes_max", usage.max_bytes_seen);
+        show("connections", usage.connections);
+        show("connections_refused", usage.connections_refused);
+        show("requests_refused", usage.requests_refused);
+        show("closed_for_connections", usage.closed_for_connections);
+        show("closed_for_memory", usage.closed_for_memory);
+        show("closed_slow", usage.closed_slow);
+    }
+}
+
+// One line for each part and interval, however many connections are refused.
+void site_vm::log_input_refusals()
+{
+    input_log_due_ = monotonic_now() + input_log_interval;
+    for (std::size_t i = 0; i < named_input_parts.size(); ++i)
+    {
+        const auto usage = input_budget_->usage(named_input_parts[i].part);
+        const auto refused = refusals_in(usage);
+        if (refused == logged_refusals_[i])
+        {
+            continue;
+        }
+        log_line(log_level::warning,
+                 "http",
+                 "Connections or requests were refused or closed to stay "
+                 "within the limits.",
+                 {{"part", named_input_parts[i].name},
+                  {"new", std::to_string(refused - logged_refusals_[i])},
+                  {"connections", std::to_string(usage.connections)},
+                  {"bytes", std::to_string(usage.bytes)}});
+        logged_refusals_[i] = refused;
+    }
+}
+
 void site_vm::show_metrics(const std::function<void(http_response)>& respond)
 {
+    show_input_usage();
     counters_.set("log_lines_dropped",
                   static_cast<double>(dropped_log_lines()));
     counters_.set("config_version", static_cast<double>(deployment_.version()));
--- a/src/entry/site_vm.hpp
+++ b/src/entry/site_vm.hpp
@@ -40,6 +40,9 @@
     std::function<server_api(const adapter_context& context)> make_servers;
     std::function<http_handler(job_api& jobs, const adapter_context& context)>
         make_http_api;
+    // Judges calls before a body that has not arrived is read.
+    std::function<http_judge(job_api& jobs, const adapter_context& context)>
+        make_http_judge;
     std::function<http_handler(std::function<bool()> ready)> make_ready_probe;
 };
 
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,13 @@
 using http_handler = std::function<void(
     http_request request, std::function<void(http_response)> respond)>;
 
+// Judges a request by its header, before a body that has not yet arrived is
+// read. Called on the control thread with an empty body; returns the reply with
+// which the request is refused, or nullopt. Requests that have arrived as a
+// whole go to the handler without it.
+using http_judge =
+    std::function<std::optional<http_response>(const http_request& header)>;
+
 } // namespace poplarramp
 
 #endif
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -13,8 +13,10 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <exception>
+#include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <utility>
 
 namespace poplarramp
@@ -31,6 +33,13 @@
 // otherwise recur immediately.
 constexpr milliseconds accept_retry_delay{50};
 
+// Connections that the kernel has established and the server has not accepted.
+// What their peers send is held in memory too.
+constexpr int max_unaccepted = 512;
+
+// Memory of a listener without a budget of its process.
+constexpr std::size_t default_budget_bytes = std::size_t{256} * 1024 * 1024;
+
 // Connections over the limit that get an error reply at a time; further ones
 // are closed without a reply.
 constexpr std::size_t max_refusals = 64;
@@ -49,33 +58,47 @@
     state(asio::io_context& traffic_context,
           asio::io_context& control_context,
           http_server_settings server_settings,
-          http_handler server_handler)
+          http_handler server_handler,
+          http_judge server_judge)
         : traffic(traffic_context), control(control_context),
           settings(std::move(server_settings)),
-          handler(std::move(server_handler)),
+          handler(std::move(server_handler)), judge(std::move(server_judge)),
           strand(asio::make_strand(traffic_context)), acceptor(strand),
-          retry_timer(strand)
+          retry_timer(strand), budget(settings.budget)
     {
+        if (!budget)
+        {
+            const input_limits own{default_budget_bytes,
+                                   settings.max_connections};
+            budget = std::make_shared<input_budget>(
+                input_part_limits{own, own, own});
+        }
     }
 
     bool open(failure& why);
     asio::awaitable<void> accept_loop();
     void start(tcp::socket socket);
-    void start_refusal(tcp::socket socket);
+    void start_refusal(const std::shared_ptr<detail::connection>& item);
     void accept_pending();
     void begin_stop(std::function<void()> when_stopped);
     void notify_if_stopped();
+    bool count_address(const std::string& address);
+    void forget_address(const std::string& address);
     http_handler dispatch();
+    detail::async_judge dispatch_judge();
 
     asio::io_context& traffic;
     asio::io_context& control;
     const http_server_settings settings;
     const http_handler handler;
+    const http_judge judge;
     asio::strand<asio::io_context::executor_type> strand;
     tcp::acceptor acceptor;
     asio::steady_timer retry_timer;
+    std::shared_ptr<input_budget> budget;
     std::uint16_t port = 0;
     connection_set connections;
+    std::map<std::string, std::size_t> connections_by_address;
     std::size_t refusals = 0;
     bool stopping = false;
     bool accepting = false;
@@ -95,13 +118,27 @@
     {
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     }
+    if (!error && settings.socket_buffer_bytes > 0)
+    {
+        // Accepted sockets inherit the sizes; set later, they would not limit
+        // what the kernel has already offered to the peer.
+        acceptor.set_option(asio::socket_base::receive_buffer_size(
+                                settings.socket_buffer_bytes),
+                            error);
+        if (!error)
+        {
+            acceptor.set_option(asio::socket_base::send_buffer_size(
+                                    settings.socket_buffer_bytes),
+                                error);
+        }
+    }
     if (!error)
     {
         acceptor.bind(endpoint, error);
     }
     if (!error)
     {
-        acceptor.listen(tcp::acceptor::max_listen_connections, error);
+        acceptor.listen(max_unaccepted, error);
     }
     if (error)
     {
@@ -194,47 +231,120 @@
     };
 }
 
+detail::async_judge http_server::state::dispatch_judge()
+{
+    if (!judge)
+    {
+        return nullptr;
+    }
+    return [self = shared_from_this()](
+               http_request header,
+               std::function<void(std::optional<http_response>)> decide)
+    {
+        asio::post(
+            self->control,
+            [self, header = std::move(header), decide = std::move(decide)]
+            {
+                try
+                {
+                    decide(self->judge(header));
+                }
+                catch (const std::exception& error)
+                {
+                    decide(json_response(
+                        {result_code::internal_error, error.what()}));
+                }
+            });
+    };
+}
+
+// Returns false if the address has as many connections as it may have.
+bool http_server::state::count_address(const std::string& address)
+{
+    if (settings.max_connections_per_address == 0)
+    {
+        return true;
+    }
+    auto& count = connections_by_address[address];
+    if (count >= settings.max_connections_per_address)
+    {
+        return false;
+    }
+    ++count;
+    return true;
+}
+
+void http_server::state::forget_address(const std::string& address)
+{
+    const auto found = connections_by_address.find(address);
+    if (found != connections_by_address.end() && --found->second == 0)
+    {
+        connections_by_address.erase(found);
+    }
+}
+
 void http_server::state::start(tcp::socket socket)
 {
-    if (connections.size() >= settings.max_connections)
+    error_code error;
+    const auto peer = socket.remote_endpoint(error);
+    const auto address = error ? "" : peer.address().to_string();
+    const auto item = std::make_shared<detail::connection>(
+        std::move(socket), settings, dispatch(), dispatch_judge());
+    if (!count_address(address))
     {
-        start_refusal(std::move(socket));
+        start_refusal(item);
         return;
     }
-    const auto item = std::make_shared<detail::connection>(
-        std::move(socket), settings, dispatch());
+    auto account = budget->open(
+        settings.part,
+        [weak = std::weak_ptr(item)]
+        {
+            if (const auto closed = weak.lock())
+            {
+                asio::post(closed->executor(), [closed] { closed->close(); });
+            }
+        });
+    if (!account)
+    {
+        forget_address(address);
+        start_refusal(item);
+        return;
+    }
+    item->set_account(std::move(account));
     connections.insert(item);
     if (stopping)
     {
         asio::post(item->executor(), [item] { item->begin_stop(); });
     }
-    asio::co_spawn(item->executor(),
-                   item->run(),
-                   [self = shared_from_this(), item](const std::exception_ptr&)
-                   {
-                       asio::post(self->strand,
-                                  [self, item]
-                                  {
-                                      self->connections.erase(item);
-                                      self->notify_if_stopped();
-                                  });
-                   });
+    asio::co_spawn(
+        item->executor(),
+        item->run(),
+        [self = shared_from_this(), item, address](const std::exception_ptr&)
+        {
+            item->set_account(nullptr);
+            asio::post(self->strand,
+                       [self, item, address]
+                       {
+                           self->connections.erase(item);
+                           self->forget_address(address);
+                           self->notify_if_stopped();
+                       });
+        });
 }
 
-void http_server::state::start_refusal(tcp::socket socket)
+void http_server::state::start_refusal(
+    const std::shared_ptr<detail::connection>& item)
 {
     if (refusals >= max_refusals)
     {
         return;
     }
     ++refusals;
-    const auto item = std::make_shared<detail::connection>(
-        std::move(socket), settings, dispatch());
-    asio::co_spawn(
-        item->executor(),
-        item->refuse({result_code::shed, "too many connections, not run"}),
-        [self = shared_from_this(), item](const std::exception_ptr&)
-        { asio::post(self->strand, [self] { --self->refusals; }); });
+    asio::co_spawn(item->executor(),
+                   item->refuse({result_code::overloaded,
+                                 "too many connections, not run"}),
+                   [self = shared_from_this(), item](const std::exception_ptr&)
+                   { asio::post(self->strand, [self] { --self->refusals; }); });
 }
 
 void http_server::state::begin_stop(std::function<void()> when_stopped)
@@ -265,9 +375,13 @@
 http_server::http_server(asio::io_context& traffic,
                          asio::io_context& control,
                          http_server_settings settings,
-                         http_handler handler)
-    : state_(std::make_shared<state>(
-          traffic, control, std::move(settings), std::move(handler)))
+                         http_handler handler,
+                         http_judge judge)
+    : state_(std::make_shared<state>(traffic,
+                                     control,
+                                     std::move(settings),
+                                     std::move(handler),
+                                     std::move(judge)))
 {
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -4,6 +4,7 @@
 
 #include "base/result.hpp"
 #include "base/time.hpp"
+#include "http/input_budget.hpp"
 #include "http/message.hpp"
 
 #include <cstddef>
@@ -25,10 +26,24 @@
     std::string ip = "127.0.0.1";
     // 0: a free port, see `http_server::port`.
     std::uint16_t port = 0;
+    // Memory and connections of the listener; nullptr: a budget of its own with
+    // `max_connections`.
+    std::shared_ptr<input_budget> budget;
+    input_part part = input_part::callers;
     std::size_t max_connections = 1024;
+    // Connections from one address; 0: no limit.
+    std::size_t max_connections_per_address = 0;
+    // Largest receive and send buffer of a connection in the kernel, in bytes;
+    // 0: the kernel decides.
+    int socket_buffer_bytes = 16 * 1024;
     // At most 32 KiB takes effect.
     std::uint32_t max_header_bytes = 16 * 1024;
+    // 0: requests have no body. GET and DELETE never have more than 4 KiB.
     std::uint64_t max_body_bytes = std::uint64_t{1024} * 1024;
+    // A body, and the reading of a reply, must progress at this rate on average
+    // after the first two seconds; the least rate at which a request of the
+    // largest size could still arrive within a caller's patience of 30 s.
+    std::size_t min_bytes_per_second = std::size_t{8} * 1024;
     // The first byte of a new connection and the header of each request must
     // arrive within `header_timeout`, the body within `body_timeout`, so that a
     // slow client cannot occupy a connection.
@@ -55,7 +70,8 @@
     http_server(boost::asio::io_context& traffic,
                 boost::asio::io_context& control,
                 http_server_settings settings,
-                http_handler handler);
+                http_handler handler,
+                http_judge judge = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
