--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -7,6 +7,7 @@
 #include "entry/target.hpp"
 #include "http/json_reply.hpp"
 #include "model/codec.hpp"
+#include "model/json_bounds.hpp"
 
 #include <algorithm>
 #include <array>
@@ -43,9 +44,17 @@
     return difference == 0;
 }
 
+// A job is one object of six members; its payload is a text of any length.
+constexpr json_bounds job_bounds{
+    4, 64, 64, std::numeric_limits<std::size_t>::max()};
+
 std::optional<job_request>
 read_job(const std::string& body, const clock_mapping& clock, failure& why)
 {
+    if (!check_bounds(body, job_bounds, why))
+    {
+        return std::nullopt;
+    }
     const auto json = parse_json(body, why);
     if (!json)
     {
