Long-running tasks are restarted first within their priority

Cause: a long-running step got a deadline like any other and ranked last once that had passed; headroom and waiting reservations kept it off what was free. Change: it cannot miss its deadline. Tasks that have run before come first within their priority, may use the headroom while no urgent step waits and the waiting reservations of steps that are not urgent; after 3 s also those of urgent steps, distant servers and servers with failed runs. If nothing of their size is free, the next place is reserved for them. domain_blocked plays an urgent gang wider than the fleet through the whole dispatcher. Four tests of the planner, one of the dispatcher on a full fleet.

--- a/src/domain/job_progress.hpp
+++ b/src/domain/job_progress.hpp
@@ -45,6 +45,9 @@
     int last_failed_attempt = 0;
     // When the step first had tasks to place; not stored.
     time_point ready_since{};
+    // Since when long-running tasks that have run before wait to be placed; not
+    // stored.
+    std::optional<time_point> restart_since;
     // Until when tasks that are to be kept apart wait for servers without runs;
     // not stored.
     time_point empty_servers_until{};
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -97,6 +97,8 @@
             {
                 const auto step = static_cast<int>(i);
                 auto tasks = progress.ready_tasks(number, step);
+                record_restart(
+                    progress.spec_of(step), tasks, repetition.steps[i]);
                 if (tasks.empty())
                 {
                     continue;
@@ -114,6 +116,29 @@
         }
     }
 
+    void record_restart(const step_spec& spec,
+                        const std::vector<int>& tasks,
+                        step_progress& step) const
+    {
+        const bool has_run =
+            spec.long_running &&
+            std::any_of(tasks.begin(),
+                        tasks.end(),
+                        [&step](int index) {
+                            return step.tasks
+                                       .at(static_cast<std::size_t>(index))
+                                       .attempt > 0;
+                        });
+        if (!has_run)
+        {
+            step.restart_since.reset();
+        }
+        else if (!step.restart_since)
+        {
+            step.restart_since = records_.now;
+        }
+    }
+
     // Moves the tasks that are to be kept apart out of `tasks`. The members of
     // a gang are kept apart together.
     static std::vector<int> take_suspects(const job_progress& progress,
@@ -152,11 +177,7 @@
         auto suspects = take_suspects(progress, name, tasks);
         if (!tasks.empty())
         {
-            add_step(progress,
-                     name,
-                     std::move(tasks),
-                     step.ready_since,
-                     isolation::none);
+            add_step(progress, name, std::move(tasks), step, isolation::none);
         }
         if (suspects.empty())
         {
@@ -170,7 +191,7 @@
         add_step(progress,
                  name,
                  std::move(suspects),
-                 step.ready_since,
+                 step,
                  records_.now < step.empty_servers_until
                      ? isolation::empty_servers
                      : isolation::proven_servers);
@@ -179,7 +200,7 @@
     void add_step(job_progress& progress,
                   const task_name& name,
                   std::vector<int> tasks,
-                  time_point since,
+                  const step_progress& step,
                   isolation isolated)
     {
         const auto& job = progress.job();
@@ -196,7 +217,8 @@
             static_cast<std::int64_t>(
                 job.policy.stretch *
                 static_cast<double>(critical_path(job.spec).count()));
-        item.ready_since = since;
+        item.ready_since = step.ready_since;
+        item.restart_since = step.restart_since;
         view_.input.steps.push_back(std::move(item));
         view_.steps.push_back({&progress, std::move(tasks)});
     }
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -50,6 +50,11 @@
 // end has not, or other capacity has become cheaper.
 constexpr milliseconds search_interval{500};
 
+// A long-running task that waits longer than this for its restart goes wherever
+// there is room: it must run again within 6 s of its last end, also on a full
+// fleet. Its end is known and its start takes effect within a second.
+constexpr milliseconds restart_patience{3000};
+
 // Limits reservations that wait for runs to end, since their free capacity
 // stays idle.
 constexpr int max_waiting_reservations = 3;
@@ -163,8 +168,10 @@
 
 bool step_planner::misses_deadline(const waiting_step& step) const
 {
-    return round_.input.unix_now + step.request.step->estimate.count() >
-           step.deadline_unix_ms;
+    // A long-running task does not end, so that it cannot be late.
+    return !step.request.step->long_running &&
+           round_.input.unix_now + step.request.step->estimate.count() >
+               step.deadline_unix_ms;
 }
 
 std::vector<std::size_t> step_planner::ranked_steps() const
@@ -178,8 +185,9 @@
     const auto rank = [this, &steps](std::size_t index)
     {
         const auto& step = steps[index];
-        return std::tuple<int, bool, std::int64_t, const step_id&>(
+        return std::tuple<int, bool, bool, std::int64_t, const step_id&>(
             level_of(index),
+            !step.restart_since,
             misses_deadline(step),
             step.deadline_unix_ms,
             step.id);
@@ -372,7 +380,12 @@
     {
         exclude(own->second, true);
     }
-    const int missing = step.request.tasks - place_free(index, has_reservation);
+    int placed = place_free(index, has_reservation);
+    if (placed == 0 && step.restart_since)
+    {
+        placed = place_restart(index);
+    }
+    const int missing = step.request.tasks - placed;
     if (has_reservation)
     {
         exclude(own->second, false);
@@ -389,6 +402,57 @@
     {
         report_blocked(index);
     }
+    round_.urgent_waits =
+        round_.urgent_waits ||
+        (missing > 0 && step.priority == 0 && tasks_in_reach(index) > 0);
+}
+
+// Hides or shows the reservations that wait for runs to end, as far as they are
+// hidden from the step, and as a restart may use their capacity.
+void step_planner::exclude_waiting(std::size_t index,
+                                   bool overdue,
+                                   bool add_back)
+{
+    const auto& own = round_.input.steps[index].id;
+    for (const auto& [id, reserved] : reservations_)
+    {
+        const bool urgent = reserved.level <= 1;
+        if (!reserved.preempted && reserved.level <= level_of(index) &&
+            (overdue || !urgent) && id != own)
+        {
+            exclude(reserved, add_back);
+        }
+    }
+}
+
+// Places long-running tasks that have run before where other steps may not be
+// placed: into the headroom if no urgent step waits for it, and into capacity
+// that is kept for steps that wait for runs to end. Overdue ones also go far
+// from their data, into the headroom in any case, and to servers on which runs
+// have failed. Returns the number of tasks that are placed.
+int step_planner::place_restart(std::size_t index)
+{
+    const auto& step = round_.input.steps[index];
+    const bool overdue =
+        round_.input.now - *step.restart_since >= restart_patience;
+    auto request = step.request;
+    request.urgent = request.urgent || overdue || !round_.urgent_waits;
+    if (overdue)
+    {
+        request.max_slowdown =
+            request.remote_slowdown * request.remote_slowdown;
+        request.max_failures = std::numeric_limits<int>::max();
+    }
+    exclude_waiting(index, overdue, true);
+    const auto result =
+        search(request, &round_.restart_capacity[{level_of(index), overdue}]);
+    exclude_waiting(index, overdue, false);
+    if (!result)
+    {
+        return 0;
+    }
+    apply_placement(index, *result);
+    return result->tasks;
 }
 
 int step_planner::place_free(std::size_t index, bool has_reservation)
@@ -483,7 +547,7 @@
 }
 
 // An urgent step always gets a reservation; of the others only gangs, which the
-// tasks of less urgent jobs would starve.
+// tasks of less urgent jobs would starve, and restarts of long-running tasks.
 void step_planner::reserve(std::size_t index, int tasks)
 {
     const auto& step = round_.input.steps[index];
@@ -495,7 +559,9 @@
     {
         return;
     }
-    if (!urgent && (!step.request.step->gang || misses_deadline(step)))
+    const bool restart = step.restart_since.has_value();
+    if (!urgent && !restart &&
+        (!step.request.step->gang || misses_deadline(step)))
     {
         return;
     }
@@ -518,7 +584,8 @@
         return;
     }
     if (!may_wait_reserved(index) ||
-        (!urgent && waiting_reservations() >= max_waiting_reservations))
+        (!urgent && !restart &&
+         waiting_reservations() >= max_waiting_reservations))
     {
         return;
     }
--- a/src/policy/step_planner.hpp
+++ b/src/policy/step_planner.hpp
@@ -55,6 +55,8 @@
     std::int64_t deadline_unix_ms = 0;
     // When the tasks could first be placed.
     time_point ready_since{};
+    // Since when long-running tasks that have run before wait for a restart.
+    std::optional<time_point> restart_since;
 };
 
 // State of the domain at the time of a plan.
@@ -180,6 +182,10 @@
         std::map<std::tuple<int, bool, std::optional<std::size_t>>, fit_cache>
             occupied_capacity;
         int searches = 0;
+        // Urgent steps that can run were planned and still wait.
+        bool urgent_waits = false;
+        // What restarts may use, by level and whether they are overdue.
+        std::map<std::pair<int, bool>, fit_cache> restart_capacity;
         plan_decisions decisions;
     };
 
@@ -199,6 +205,8 @@
     void plan_step(std::size_t index);
     // Returns the number of tasks that are placed on free resources.
     int place_free(std::size_t index, bool has_reservation);
+    int place_restart(std::size_t index);
+    void exclude_waiting(std::size_t index, bool overdue, bool add_back);
     std::optional<placement_result> search(const placement_request& request,
                                            fit_cache* cache);
     bool fits_empty_servers(const placement_request& request);
--- a/tests/domain_overload_test.cpp
+++ b/tests/domain_overload_test.cpp
@@ -200,6 +200,60 @@
     }
 }
 
+// Guards against a long-running task that failed and is not restarted while
+// batch tasks take each place that comes free.
+TEST(domain_overload, long_running_task_is_restarted_on_a_full_fleet)
+{
+    constexpr int servers = 4;
+    const std::string lasting = "lasting";
+    domain_simulation sim;
+    for (int i = 0; i < servers; ++i)
+    {
+        sim.add_server(server_id(i));
+    }
+    sim.run_until(milliseconds(5000),
+                  [&sim] { return sim.leader() != nullptr; });
+    sim.run(milliseconds(1000));
+    auto spec = one_step(1, 2);
+    spec.steps[0].long_running = true;
+    spec.steps[0].estimate = milliseconds(2000);
+    sim.task_times[lasting] = milliseconds(600'000);
+    sim.submit(0, lasting, "q2", spec);
+    // Twice as many batch tasks as the servers can run.
+    for (std::int64_t i = 0; i < 100; ++i)
+    {
+        sim.at(sim.now + 500 + i * 250,
+               [&sim, i]
+               {
+                   sim.submit(0,
+                              std::string("batch-").append(std::to_string(i)),
+                              "q2",
+                              one_step(8, 1));
+               });
+    }
+    sim.run(milliseconds(12000));
+    const auto find_lasting = [&sim, &lasting]
+    {
+        for (auto& [id, server] : sim.servers)
+        {
+            for (const auto& [run, item] : server.active)
+            {
+                if (run.task.job == lasting)
+                {
+                    return std::pair(&server, run);
+                }
+            }
+        }
+        return std::pair<fake_server*, run_id>(nullptr, {});
+    };
+    const auto [server, run] = find_lasting();
+    CHECK(server != nullptr);
+    server->end(sim, run, run_outcome::failed);
+    CHECK(sim.run_until(milliseconds(6000),
+                        [&find_lasting]
+                        { return find_lasting().first != nullptr; }));
+}
+
 TEST_GROUP(known_red_overload){};
 
 // Listed in KNOWN-RED.txt. Guards against starts that live for a moment: at any
@@ -209,3 +263,26 @@
     const burst_run run;
     CHECK(50 * run.sim.stopped_early <= run.sim.starts);
 }
+
+TEST_GROUP(domain_blocked){};
+
+// Guards against an urgent gang wider than the fleet that stops the leader or
+// keeps all other work from its turn.
+TEST(domain_blocked, gang_wider_than_the_fleet_holds_up_no_job)
+{
+    domain_simulation sim;
+    for (int i = 0; i < 4; ++i)
+    {
+        sim.add_server(server_id(i));
+    }
+    sim.run_until(milliseconds(5000),
+                  [&sim] { return sim.leader() != nullptr; });
+    sim.run(milliseconds(1000));
+    sim.submit(0, "busy", "q2", one_step(20, 1));
+    sim.run(milliseconds(1000));
+    sim.submit(0, "hopeless", "q0", one_step(64, 8, true));
+    sim.run(milliseconds(500));
+    sim.submit(0, "small", "q2", one_step(1, 1));
+    CHECK(sim.run_until(milliseconds(3000),
+                        [&sim] { return sim.started_jobs.contains("small"); }));
+}
--- a/tests/policy_step_planner_test.cpp
+++ b/tests/policy_step_planner_test.cpp
@@ -510,3 +510,89 @@
         }
     }
 }
+
+// Guards against a long-running task that is not restarted: it had a deadline,
+// and came after all batch tasks once that had passed.
+TEST(step_planner, restart_comes_first_within_its_priority)
+{
+    add_servers(1);
+    const auto customer = add_customer(0);
+    add_group(1, customer, 7, {0});
+    auto spec = gang_of(1, 1);
+    spec.gang = false;
+    add_step("batch", 2, customer, spec);
+    spec.long_running = true;
+    add_step("lasting", 2, customer, spec);
+    input.steps.back().deadline_unix_ms = unix_start - 1;
+    input.steps.back().restart_since = input.now;
+    const auto decisions = planner.plan(input);
+    CHECK_EQUAL(1U, decisions.placements.size());
+    CHECK_EQUAL(1U, decisions.placements[0].step);
+}
+
+// Guards against a long-running task that waits beside free headroom, and
+// against one that takes what an urgent step waits for.
+TEST(step_planner, restart_uses_the_headroom_if_no_urgent_step_waits)
+{
+    add_servers(2);
+    const auto customer = add_customer(0);
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        const auto group = add_group(0, customer, 7, {i});
+        input.groups[group].preemptible = false;
+    }
+    auto spec = gang_of(1, 1);
+    spec.gang = false;
+    spec.long_running = true;
+    add_step("lasting", 2, customer, spec);
+    CHECK(planner.plan(input).placements.empty());
+    input.steps.back().restart_since = input.now;
+    CHECK_EQUAL(1U, planner.plan(input).placements.size());
+    add_step("urgent", 0, customer, gang_of(1, 8));
+    CHECK(planner.plan(input).placements.empty());
+    input.now += milliseconds(3000);
+    CHECK_EQUAL(1U, planner.plan(input).placements.size());
+}
+
+// Guards against a long-running task that waits for the gang before it, to
+// which all that is free is reserved.
+TEST(step_planner, restart_does_not_wait_for_reservations)
+{
+    add_servers(2);
+    const auto customer = add_customer(0);
+    add_group(1, customer, 5, {0});
+    add_group(1, customer, 5, {1});
+    add_step("gang", 1, customer, gang_of(2, 8));
+    auto spec = gang_of(1, 3);
+    add_step("batch", 2, customer, spec);
+    CHECK(planner.plan(input).placements.empty());
+    spec.long_running = true;
+    add_step("lasting", 2, customer, spec);
+    input.steps.back().restart_since = input.now;
+    const auto decisions = planner.plan(input);
+    CHECK_EQUAL(1U, decisions.placements.size());
+    CHECK_EQUAL(2U, decisions.placements[0].step);
+}
+
+// Guards against single tasks that take each place that comes free before a
+// larger long-running one fits.
+TEST(step_planner, restart_gets_the_next_place_on_a_full_fleet)
+{
+    add_servers(1);
+    const auto customer = add_customer(0);
+    add_group(2, customer, 4, {0});
+    add_group(2, customer, 4, {0});
+    auto spec = gang_of(1, 8);
+    spec.gang = false;
+    spec.long_running = true;
+    add_step("lasting", 2, customer, spec);
+    input.steps.back().restart_since = input.now;
+    planner.plan(input);
+    // One of the two has ended.
+    input.servers[0].free.accelerators += 4;
+    input.servers[0].groups.pop_back();
+    input.groups[1].servers.clear();
+    input.now += milliseconds(100);
+    add_step("batch", 2, customer, gang_of(1, 4));
+    CHECK(planner.plan(input).placements.empty());
+}
