--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -50,6 +50,11 @@
 // end has not, or other capacity has become cheaper.
 constexpr milliseconds search_interval{500};
 
+// A long-running task that waits longer than this for its restart goes wherever
+// there is room: it must run again within 6 s of its last end, also on a full
+// fleet. Its end is known and its start takes effect within a second.
+constexpr milliseconds restart_patience{3000};
+
 // Searches for occupied capacity in one plan. Each looks at all runs.
 constexpr int max_searches = 12;
 
@@ -170,8 +175,13 @@
     const auto rank = [this, &steps](std::size_t index)
     {
         const auto& step = steps[index];
-        return std::tuple<int, job_prospect, std::int64_t, const step_id&>(
-            level_of(index), prospect_of(step), step.deadline_unix_ms, step.id);
+        return std::
+            tuple<int, bool, job_prospect, std::int64_t, const step_id&>(
+                level_of(index),
+                !step.restart_since,
+                prospect_of(step),
+                step.deadline_unix_ms,
+                step.id);
     };
     std::sort(order.begin(),
               order.end(),
@@ -375,7 +385,11 @@
     {
         exclude(own->second, true);
     }
-    const int placed = room.now > 0 ? place_free(index, has_reservation) : 0;
+    int placed = room.now > 0 ? place_free(index, has_reservation) : 0;
+    if (placed == 0 && room.now > 0 && step.restart_since)
+    {
+        placed = place_restart(index);
+    }
     const int missing = room.after_stops - placed;
     if (has_reservation)
     {
@@ -393,6 +407,57 @@
     {
         report_blocked(index);
     }
+    round_.urgent_waits =
+        round_.urgent_waits ||
+        (missing > 0 && step.priority == 0 && tasks_in_reach(index) > 0);
+}
+
+// Hides or shows the reservations that wait for runs to end, as far as they are
+// hidden from the step, and as a restart may use their capacity.
+void step_planner::exclude_waiting(std::size_t index,
+                                   bool overdue,
+                                   bool add_back)
+{
+    const auto& own = round_.input.steps[index].id;
+    for (const auto& [id, reserved] : reservations_)
+    {
+        const bool urgent = reserved.level <= 1;
+        if (!reserved.preempted && reserved.level <= level_of(index) &&
+            (overdue || !urgent) && id != own)
+        {
+            exclude(reserved, add_back);
+        }
+    }
+}
+
+// Places long-running tasks that have run before where other steps may not be
+// placed: into the headroom if no urgent step waits for it, and into capacity
+// that is kept for steps that wait for runs to end. Overdue ones also go far
+// from their data, into the headroom in any case, and to servers on which runs
+// have failed. Returns the number of tasks that are placed.
+int step_planner::place_restart(std::size_t index)
+{
+    const auto& step = round_.input.steps[index];
+    const bool overdue =
+        round_.input.now - *step.restart_since >= restart_patience;
+    auto request = step.request;
+    request.urgent = request.urgent || overdue || !round_.urgent_waits;
+    if (overdue)
+    {
+        request.max_slowdown =
+            request.remote_slowdown * request.remote_slowdown;
+        request.max_failures = std::numeric_limits<int>::max();
+    }
+    exclude_waiting(index, overdue, true);
+    const auto result =
+        search(request, &round_.restart_capacity[{level_of(index), overdue}]);
+    exclude_waiting(index, overdue, false);
+    if (!result)
+    {
+        return 0;
+    }
+    apply_placement(index, *result);
+    return result->tasks;
 }
 
 int step_planner::place_free(std::size_t index, bool has_reservation)
@@ -480,7 +545,7 @@
 }
 
 // An urgent step always gets a reservation; of the others only gangs, which the
-// tasks of less urgent jobs would starve.
+// tasks of less urgent jobs would starve, and restarts of long-running tasks.
 void step_planner::reserve(std::size_t index, int tasks)
 {
     const auto& step = round_.input.steps[index];
@@ -492,7 +557,9 @@
     {
         return;
     }
-    if (!urgent && (!step.request.step->gang || !is_worth_reserving(step)))
+    const bool restart = step.restart_since.has_value();
+    if (!urgent && !restart &&
+        (!step.request.step->gang || !is_worth_reserving(step)))
     {
         return;
     }
@@ -515,7 +582,7 @@
         return;
     }
     if (!may_wait_reserved(index) ||
-        (!urgent && !may_add_waiting_reservation()))
+        (!urgent && !restart && !may_add_waiting_reservation()))
     {
         return;
     }
--- a/src/policy/step_planner_value.cpp
+++ b/src/policy/step_planner_value.cpp
@@ -37,8 +37,10 @@
 
 bool step_planner::misses_deadline(const waiting_step& step) const
 {
-    return round_.input.unix_now + step.request.step->estimate.count() >
-           step.deadline_unix_ms;
+    // A long-running task does not end, so that it cannot be late.
+    return !step.request.step->long_running &&
+           round_.input.unix_now + step.request.step->estimate.count() >
+               step.deadline_unix_ms;
 }
 
 // A step that gains nothing by an early start holds no capacity back.
