Make room for urgent jobs under a full limit, and share a full fleet by weight

Cause: a customer's own less urgent runs could fill its limit while its urgent job was within the guarantee. On a full fleet, the order of deadlines gave most to the customer that submitted most.

Change: for a step within the guarantee, less urgent runs of its customer are stopped until the limit leaves room; the start waits until their ends are listed. Among waiting steps of one level, the customer furthest below its weighted share goes first (dominant resource fairness). Jobs beyond `weight` a second come last in their level, open no reservations and stop no runs. Without `weight` the order is as before.

--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -234,6 +234,7 @@
             cancel_job(opened->second);
         }
     }
+    restore_rates();
     find_restarted_servers();
     ready_ = true;
     log_line(log_level::info,
@@ -435,6 +436,7 @@
               {"customer", job.customer},
               {"priority", std::to_string(job.policy.priority)},
               {"config", std::to_string(deployment_.version())}});
+    record_rate(job);
     open_jobs_.try_emplace(job.id, job)
         .first->second.open_due_repetitions(hooks_.unix_now());
     request_plan();
@@ -673,6 +675,7 @@
             ended_jobs_.insert(id);
             open_jobs_.erase(found);
             planner_.forget_job(id);
+            rates_.forget(id);
         }
     }
     request_plan();
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "domain/run_log.hpp"
 #include "domain/server_api.hpp"
 #include "domain/server_registry.hpp"
+#include "policy/customer_rates.hpp"
 #include "policy/step_planner.hpp"
 
 #include <cstdint>
@@ -228,6 +229,10 @@
                  const run_id& run,
                  const order_reply& reply);
 
+    // Limits and shares of customers (dispatcher_limits.cpp).
+    void record_rate(const step_job& job);
+    void restore_rates();
+
     // Planning (dispatcher_plan.cpp).
     void plan();
     void place(const planning_view& view, const planned_placement& decision);
@@ -263,6 +268,7 @@
     std::map<std::string, step_job_state> stored_states_;
     std::set<std::string> dirty_jobs_;
     step_planner planner_;
+    customer_rates rates_;
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -21,7 +21,8 @@
                                     settings_.regions,
                                     settings_.remote_slowdown,
                                     settings_.limit_overage,
-                                    &jobs_});
+                                    &jobs_,
+                                    &rates_});
     if (view.input.steps.empty())
     {
         return;
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -201,6 +201,8 @@
             static_cast<std::int64_t>(
                 job.policy.stretch *
                 static_cast<double>(critical_path(job.spec).count()));
+        item.beyond_rate =
+            records_.rates != nullptr && records_.rates->beyond(job.id);
         item.ready_since = since;
         view_.input.steps.push_back(std::move(item));
         view_.steps.push_back({&progress, std::move(tasks)});
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -7,6 +7,7 @@
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/server_registry.hpp"
+#include "policy/customer_rates.hpp"
 #include "policy/step_planner.hpp"
 
 #include <cstdint>
@@ -41,6 +42,8 @@
     // All accepted jobs, to find the customers of runs whose job has ended; may
     // be null.
     const job_directory* directory = nullptr;
+    // Which jobs exceed the rates of their customers; may be null.
+    const customer_rates* rates = nullptr;
 };
 
 // Valid until the records change.
--- a/src/policy/customer_limits.cpp
+++ b/src/policy/customer_limits.cpp
@@ -164,6 +164,11 @@
     accounts_[customer].held_after_stops -= released;
 }
 
+void customer_limits::keep_running(std::size_t customer, const resources& kept)
+{
+    accounts_[customer].held_after_stops += kept;
+}
+
 void customer_limits::add_expected(std::size_t customer,
                                    const step_spec& step,
                                    int tasks)
--- a/src/policy/customer_limits.hpp
+++ b/src/policy/customer_limits.hpp
@@ -62,6 +62,9 @@
     // Records that what the customer holds in runs will be released soon.
     void add_stopping(std::size_t customer, const resources& released);
 
+    // Withdraws `add_stopping`.
+    void keep_running(std::size_t customer, const resources& kept);
+
     // Assigns resources that will be released to tasks that wait for them.
     void add_expected(std::size_t customer, const step_spec& step, int tasks);
 
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -73,13 +73,14 @@
     update_reservation_levels();
     keep_headroom();
     int excluded = -1;
-    for (const auto index : ranked_steps())
+    auto order = steps_by_share();
+    while (const auto index = order.next(round_.limits))
     {
-        while (excluded < level_of(index))
+        while (excluded < level_of(*index))
         {
             exclude_reservations(++excluded);
         }
-        plan_step(index);
+        plan_step(*index);
     }
     auto& decisions = round_.decisions;
     if (decisions.placements.empty() && decisions.preemptions.empty())
@@ -146,8 +147,9 @@
     const auto rank = [this, &steps](std::size_t index)
     {
         const auto& step = steps[index];
-        return std::tuple<int, bool, std::int64_t, const step_id&>(
+        return std::tuple<int, bool, bool, std::int64_t, const step_id&>(
             level_of(index),
+            yields(index),
             misses_deadline(step),
             step.deadline_unix_ms,
             step.id);
@@ -295,6 +297,10 @@
     }
     const int placed = room.now > 0 ? place_free(index, has_reservation) : 0;
     const int missing = room.after_stops - placed;
+    if (round_.in_guarantee[index])
+    {
+        round_.limits.add_expected(step.customer, *step.request.step, missing);
+    }
     if (has_reservation)
     {
         exclude(own->second, false);
@@ -413,7 +419,8 @@
     {
         return;
     }
-    if (!urgent && (!step.request.step->gang || misses_deadline(step)))
+    if (yields(index) ||
+        (!urgent && (!step.request.step->gang || misses_deadline(step))))
     {
         return;
     }
--- a/src/policy/step_planner.hpp
+++ b/src/policy/step_planner.hpp
@@ -7,6 +7,7 @@
 #include "base/time.hpp"
 #include "policy/capacity_search.hpp"
 #include "policy/customer_limits.hpp"
+#include "policy/customer_shares.hpp"
 #include "policy/fit_cache.hpp"
 #include "policy/guarantee_claims.hpp"
 #include "policy/step_placement.hpp"
@@ -53,6 +54,8 @@
     std::int64_t accepted_unix_ms = 0;
     // Soft deadline of the job: completion is worth little afterwards.
     std::int64_t deadline_unix_ms = 0;
+    // Of a job beyond the number per second that its customer is entitled to.
+    bool beyond_rate = false;
     // When the tasks could first be placed.
     time_point ready_since{};
 };
@@ -183,6 +186,11 @@
     std::int64_t waiting_urgent_accelerators() const;
     void drop_blocked_reservations();
     limit_room room_under_limit(std::size_t index);
+    // A job beyond its customer's rate comes last and stops no runs, except
+    // within the guarantee.
+    bool yields(std::size_t index) const;
+    share_order steps_by_share() const;
+    void make_room(std::size_t index);
 
     void place_or_reserve(std::size_t index, const limit_room& room);
     // Returns the number of tasks that are placed on free resources.
--- a/src/policy/step_planner_limits.cpp
+++ b/src/policy/step_planner_limits.cpp
@@ -3,6 +3,9 @@
 #include "policy/step_planner.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <utility>
+#include <vector>
 
 namespace poplarramp
 {
@@ -89,6 +92,31 @@
     }
 }
 
+bool step_planner::yields(std::size_t index) const
+{
+    return round_.input.steps[index].beyond_rate && !round_.in_guarantee[index];
+}
+
+share_order step_planner::steps_by_share() const
+{
+    resources fleet;
+    for (const auto& server : round_.input.servers)
+    {
+        fleet += server.capacity;
+    }
+    std::vector<share_order::entry> entries;
+    for (const auto index : ranked_steps())
+    {
+        // Steps within a guarantee are entitled to start at once.
+        const int level = level_of(index);
+        entries.push_back({index,
+                           round_.input.steps[index].customer,
+                           2 * level + (yields(index) ? 1 : 0),
+                           level > 0});
+    }
+    return {std::move(entries), round_.input.customers, fleet};
+}
+
 step_planner::limit_room step_planner::room_under_limit(std::size_t index)
 {
     const auto& step = round_.input.steps[index];
@@ -105,6 +133,10 @@
         round_.decisions.limited.push_back(index);
         return {};
     }
+    if (in_guarantee)
+    {
+        make_room(index);
+    }
     // Room that other steps wait for is not used either.
     const int after_stops =
         limits.tasks_allowed_after_stops(step.customer, spec, tasks);
@@ -120,7 +152,69 @@
     {
         round_.room_kept[step.customer] = true;
     }
-    return {now, now};
+    return {now, in_guarantee ? after_stops : now};
+}
+
+// Stops less urgent runs of the step's customer until its limit leaves room for
+// the step, those with the least lost work for what they hold first.
+void step_planner::make_room(std::size_t index)
+{
+    const auto& step = round_.input.steps[index];
+    const auto& spec = *step.request.step;
+    const int tasks = step.request.tasks;
+    const auto& groups = round_.input.groups;
+    const auto allowed = [&step, &spec, tasks](const customer_limits& limits)
+    {
+        return limits.tasks_allowed_after_stops(step.customer, spec, tasks);
+    };
+    const int before = allowed(round_.limits);
+    if (before == tasks)
+    {
+        return;
+    }
+    std::vector<std::pair<double, std::size_t>> victims;
+    for (std::size_t i = 0; i < groups.size(); ++i)
+    {
+        const auto& group = groups[i];
+        const bool may_end = group.preemptible || ends_soon(group);
+        if (group.customer == step.customer && !group.stopping && may_end &&
+            group.priority > step.priority && !group.servers.empty())
+        {
+            victims.emplace_back(
+                loss_of(group) / (1 + group.charged.equivalent_cores()), i);
+        }
+    }
+    std::sort(victims.begin(), victims.end());
+    auto limits = round_.limits;
+    capacity_claim chosen;
+    for (const auto& [cost, group] : victims)
+    {
+        if (allowed(limits) == tasks)
+        {
+            break;
+        }
+        limits.add_stopping(step.customer, groups[group].charged);
+        chosen.groups.push_back(group);
+    }
+    const int reached = allowed(limits);
+    if (reached <= before)
+    {
+        return;
+    }
+    // A run that was chosen early may be needless beside a larger one.
+    for (std::size_t i = chosen.groups.size(); i-- > 0;)
+    {
+        auto without = limits;
+        without.keep_running(step.customer, groups[chosen.groups[i]].charged);
+        if (allowed(without) == reached)
+        {
+            limits = without;
+            chosen.groups.erase(chosen.groups.begin() +
+                                static_cast<std::ptrdiff_t>(i));
+        }
+    }
+    round_.limits = limits;
+    stop_groups(index, chosen);
 }
 
 } // namespace poplarramp
--- a/tests/domain_limits_test.cpp
+++ b/tests/domain_limits_test.cpp
@@ -114,6 +114,29 @@
     fixture.check_no_violations();
 }
 
+// Guards against an urgent job within its guarantee that waits for its
+// customer's own long runs, on a fleet that others fill as well.
+TEST(domain_limits, urgent_job_starts_in_time_under_full_limit)
+{
+    limits_fixture fixture;
+    auto& sim = fixture.sim;
+    fixture.check_limit(8);
+    for (const auto* job : {"job-1", "job-2", "job-3"})
+    {
+        sim.task_times[job] = milliseconds(60000);
+    }
+    sim.submit(0, "job-1", "q1", one_step(3, 2));
+    sim.submit(0, "job-2", "q2", one_step(2, 1));
+    sim.run(milliseconds(1000));
+    sim.submit(0, "job-3", "q1", one_step(60, 1), nullptr, "tile-key");
+    sim.run(milliseconds(1000));
+    CHECK_EQUAL(8, fixture.running());
+    sim.submit(0, "job-4", "q0", one_step(2, 4, true));
+    CHECK(sim.run_until(milliseconds(2700),
+                        [&] { return sim.started_jobs.contains("job-4"); }));
+    fixture.check_no_violations();
+}
+
 // Guards against a limit that is exceeded when the leader is killed, replies
 // are lost and orders are executed late, since the next leader does not know
 // all runs yet.
--- a/tests/policy_limits_test.cpp
+++ b/tests/policy_limits_test.cpp
@@ -303,7 +303,7 @@
         for (int i = 0; i < 3; ++i)
         {
             const auto customer = add_customer(i == 0 ? 0 : 1 + pick(30), 8);
-            input.customers[customer].limit.cpu_millis = 1000 * pick(20);
+            input.customers[customer].limit.cpu_millis = std::int64_t{1000} * pick(20);
         }
         for (std::size_t i = 0; i < 6; ++i)
         {
@@ -339,3 +339,72 @@
         }
     }
 }
+
+// Guards against an urgent job within its guarantee that waits for less urgent
+// runs of its own customer, and against stops of more or other runs than it
+// needs. The start waits until the ends are listed.
+TEST(planner_limits, own_less_urgent_runs_make_room_within_guarantee)
+{
+    add_servers(6);
+    const auto limited = add_customer(16, 8);
+    const auto other = add_customer(0);
+    const auto costly = add_group(1, limited, 8, {0});
+    const auto cheap = add_group(2, limited, 8, {1});
+    add_group(2, other, 8, {2});
+    input.groups[cheap].lost_core_seconds = 1;
+    add_step("a", 0, limited, step_of(1, 8, true));
+    const auto decisions = planner.plan(input);
+    CHECK(decisions.placements.empty());
+    CHECK_EQUAL(1, decisions.preemptions.size());
+    CHECK(decisions.preemptions[0].groups == std::vector{cheap});
+    // The next plan stops no more, and other steps get no room meanwhile.
+    input.groups[cheap].stopping = true;
+    input.now += milliseconds(50);
+    add_step("b", 1, limited, step_of(1, 1, false));
+    const auto waiting = planner.plan(input);
+    CHECK(waiting.preemptions.empty());
+    CHECK(waiting.placements.empty());
+    // Its end is listed.
+    input.customers[limited].held -= input.groups[cheap].charged;
+    input.groups[cheap].charged = {};
+    CHECK_EQUAL(8, placed(planner.plan(input))[limited]);
+    CHECK(!input.groups[costly].stopping);
+}
+
+// Guards against stops for a job that the limit cannot hold, or that is outside
+// its guarantee.
+TEST(planner_limits, no_room_is_made_in_vain)
+{
+    add_servers(6);
+    const auto limited = add_customer(16, 32);
+    add_group(1, limited, 8, {0});
+    add_group(0, limited, 8, {1});
+    add_step("a", 0, limited, step_of(2, 8, true));
+    add_step("b", 0, limited, step_of(3, 8, true));
+    CHECK(planner.plan(input).preemptions.empty());
+    input.customers[limited].guaranteed = 0;
+    input.steps.pop_back();
+    input.steps.back().request.tasks = 1;
+    CHECK(planner.plan(input).preemptions.empty());
+}
+
+// Guards against jobs beyond their customer's rate that come before others of
+// their level, or stop runs outside the guarantee.
+TEST(planner_limits, jobs_beyond_the_rate_come_last)
+{
+    add_servers(1);
+    const auto fast = add_customer(0);
+    const auto other = add_customer(0);
+    input.customers[fast].weight = 1;
+    add_step("a", 1, fast, step_of(1, 8, false));
+    input.steps.back().beyond_rate = true;
+    add_step("b", 1, other, step_of(1, 8, false));
+    CHECK_EQUAL(8, placed(planner.plan(input))[other]);
+    input.steps.clear();
+    add_group(2, other, 8, {0});
+    add_step("c", 0, fast, step_of(1, 8, true));
+    input.steps.back().beyond_rate = true;
+    CHECK(planner.plan(input).preemptions.empty());
+    input.customers[fast].guaranteed = 8;
+    CHECK_EQUAL(1, planner.plan(input).preemptions.size());
+}
