--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -676,6 +676,7 @@
             open_jobs_.erase(found);
             planner_.forget_job(id);
             rates_.forget(id);
+            gang_ends_.forget_job(id);
         }
     }
     request_plan();
