Refuse jobs that never fit their customer's limit, and report limits

Cause: a gang wider than its customer's limit would wait forever. Operators could not see what a customer holds, nor why its tasks wait.

--- a/src/domain/deployment_view.cpp
+++ b/src/domain/deployment_view.cpp
@@ -78,6 +78,12 @@
     }
 }
 
+std::span<const customer_config> deployment_view::customers() const
+{
+    return config_ ? std::span<const customer_config>(config_->customers)
+                   : std::span<const customer_config>();
+}
+
 void deployment_view::set_config(deployment_config config)
 {
     if (config_ && config.version <= config_->version)
--- a/src/domain/deployment_view.hpp
+++ b/src/domain/deployment_view.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,8 @@
     // Name of the customer that owns the key, or null.
     const std::string* customer_of(const std::string& key) const;
     const customer_config* customer(const std::string& name) const;
+    // Empty before a configuration has been loaded.
+    std::span<const customer_config> customers() const;
 
     // False if the service is on standby or not configured.
     bool is_active(const std::string& service) const;
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -47,6 +47,19 @@
     milliseconds retention{300000};
 };
 
+// Figures of one customer for the metrics page.
+struct customer_figures
+{
+    resources held;
+    resources limit;
+    // Tasks that could be placed.
+    std::int64_t waiting_tasks = 0;
+    // Share of the fleet that it holds, in the dimension of which it holds
+    // most, and that it is entitled to by its weight.
+    double share = 0;
+    double entitled_share = 0;
+};
+
 struct dispatcher_hooks
 {
     table store;
@@ -94,6 +107,10 @@
     // To be called when the configuration or an evacuation has changed.
     void on_deployment_changed();
 
+    // What the customers with a limit or a weight hold and wait for, by name.
+    // Looks at all runs.
+    std::map<std::string, customer_figures> figures_by_customer() const;
+
     const server_registry& servers() const
     {
         return registry_;
@@ -240,6 +257,8 @@
     // Limits and shares of customers (dispatcher_limits.cpp).
     void record_rate(const step_job& job);
     void restore_rates();
+    void log_limited(const planning_view& view,
+                     const std::vector<std::size_t>& steps);
 
     // Planning (dispatcher_plan.cpp).
     void plan();
@@ -278,6 +297,8 @@
     gang_ends gang_ends_;
     step_planner planner_;
     customer_rates rates_;
+    // When the limit of its customer is next logged as what a job waits for.
+    std::map<std::string, time_point> next_limit_log_;
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -38,6 +38,7 @@
     {
         place(view, item);
     }
+    log_limited(view, decisions.limited);
     for (std::size_t i = 0; i < victims.size(); ++i)
     {
         preempt(view, decisions.preemptions[i], victims[i]);
--- a/src/domain/job_api.cpp
+++ b/src/domain/job_api.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "model/codec.hpp"
 #include "model/step_job_codec.hpp"
+#include "policy/customer_limits.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -258,6 +259,17 @@
                  step_job_state::queued});
         return;
     }
+    const auto* customer = deployment_.customer(call.customer);
+    const auto wide_step = customer == nullptr
+                               ? std::nullopt
+                               : step_beyond_limit(customer->limit,
+                                                   settings_.limit_overage,
+                                                   spec.steps);
+    if (wide_step)
+    {
+        refuse_wide(call, id, *wide_step, deadline, std::move(respond));
+        return;
+    }
     step_job job;
     job.id = id;
     job.customer = call.customer;
@@ -287,6 +299,43 @@
     write(pending);
 }
 
+// The same job may have been accepted by another VM under a higher limit; only
+// a job that the store does not have is refused as not run.
+void job_api::refuse_wide(const admitted_call& call,
+                          const std::string& id,
+                          std::size_t step,
+                          time_point deadline,
+                          job_responder respond)
+{
+    find(id,
+         deadline,
+         [this, call, step, respond = std::move(respond)](
+             const failure& error, const job_record* record)
+         {
+             if (error)
+             {
+                 respond({{result_code::answer_lost, error.reason},
+                          step_job_state::queued});
+             }
+             else if (record != nullptr)
+             {
+                 respond({owns(call, *record)
+                              ? failure{}
+                              : failure{result_code::key_reused,
+                                        "another customer's job has this id"},
+                          record->reported_state()});
+             }
+             else
+             {
+                 respond({{result_code::shed,
+                           "step " + std::to_string(step) +
+                               " can never run within the limit of its "
+                               "customer"},
+                          step_job_state::queued});
+             }
+         });
+}
+
 void job_api::status(const admitted_call& call,
                      const std::string& id,
                      time_point deadline,
--- a/src/domain/job_api.hpp
+++ b/src/domain/job_api.hpp
@@ -29,6 +29,9 @@
     // operator's rows or of the jobs is older. The copies are confirmed about
     // every second; counts of waiting jobs may be 2 s old.
     milliseconds max_ready_age{2000};
+    // Share of its limit by which a customer may exceed it, for a gang that is
+    // wider than the limit.
+    double limit_overage = 0;
 };
 
 struct job_api_hooks
@@ -86,7 +89,8 @@
                                        const std::string& key,
                                        failure& why) const;
 
-    // Refused at once with `store_unavailable` while the store is unresponsive.
+    // Refused at once with `store_unavailable` while the store is unresponsive,
+    // and with `shed` if its customer's limit can never hold a step of the job.
     void submit(const admitted_call& call,
                 const std::string& id,
                 step_job_spec spec,
@@ -123,6 +127,11 @@
     void find(const std::string& id,
               time_point deadline,
               std::function<void(failure, const job_record*)> done);
+    void refuse_wide(const admitted_call& call,
+                     const std::string& id,
+                     std::size_t step,
+                     time_point deadline,
+                     job_responder respond);
     void write(const std::shared_ptr<write_call>& call);
     void on_written(const std::shared_ptr<write_call>& call,
                     const table_transact_reply& reply);
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -334,22 +334,17 @@
     void charge(const run_id& run, const job_progress* open, run_group& group)
     {
         const step_job* job = open == nullptr ? nullptr : &open->job();
-        resources charged;
+        const job_record* record = nullptr;
         if (job == nullptr && records_.directory != nullptr)
         {
-            const auto* record = records_.directory->find(run.task.job);
+            record = records_.directory->find(run.task.job);
             job = record != nullptr && record->job ? &*record->job : nullptr;
-            charged = record != nullptr ? record->largest_need : resources{};
         }
         if (job == nullptr)
         {
             return;
         }
-        const auto step = static_cast<std::size_t>(run.task.step);
-        if (step < job->spec.steps.size())
-        {
-            charged = charged_for_task(job->spec.steps[step]);
-        }
+        const auto charged = charged_for_run(*job, record, run);
         group.customer = customer_index(job->customer);
         group.charged += charged;
         view_.input.customers[group.customer].held += charged;
@@ -478,6 +473,18 @@
     return result;
 }
 
+resources charged_for_run(const step_job& job,
+                          const job_record* record,
+                          const run_id& run)
+{
+    const auto step = static_cast<std::size_t>(run.task.step);
+    if (step < job.spec.steps.size())
+    {
+        return charged_for_task(job.spec.steps[step]);
+    }
+    return record != nullptr ? record->largest_need : resources{};
+}
+
 planning_view make_planning_view(const planning_records& records)
 {
     return view_builder(records).build();
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -71,6 +71,12 @@
     placed_runs runs_of(const std::vector<std::size_t>& groups) const;
 };
 
+// What a run counts with under the limit of its customer. `record` is that of
+// the job in the directory, or null. Thread safe.
+resources charged_for_run(const step_job& job,
+                          const job_record* record,
+                          const run_id& run);
+
 // Collects the waiting steps of all jobs. Opens due repetitions, and sets
 // `ready_since` of the steps that it meets first. `input.steps` is empty if no
 // step waits; nothing else is filled in then.
--- a/src/entry/site_vm.cpp
+++ b/src/entry/site_vm.cpp
@@ -20,8 +20,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <random>
+#include <string>
 #include <utility>
 
 namespace poplarramp
@@ -91,6 +93,7 @@
     void tick();
     void reload();
     void begin_stop();
+    void show_customers();
     void show_metrics(const std::function<void(http_response)>& respond);
 
     // Calls of other VMs.
@@ -173,7 +176,9 @@
           job_row_hooks()),
       leader_({values.vm, random_(), values.processor_share},
               make_leadership_hooks()),
-      job_api_({values.bounds.max_key_revocation_delay - key_revocation_margin},
+      job_api_({values.bounds.max_key_revocation_delay - key_revocation_margin,
+                job_api_settings{}.max_ready_age,
+                values.bounds.limit_overage},
                make_job_api_hooks(),
                deployment_,
                jobs_),
@@ -599,6 +604,38 @@
                     });
 }
 
+// Only the leader knows what customers hold.
+void site_vm::show_customers()
+{
+    std::map<std::string, std::map<std::string, double>> gauges;
+    if (dispatcher_)
+    {
+        for (const auto& [name, item] : dispatcher_->figures_by_customer())
+        {
+            const auto set =
+                [&gauges, &customer = name](const char* gauge, double value)
+            {
+                gauges[std::string("customer_") + gauge][customer] = value;
+            };
+            const auto amount = [](std::int64_t value)
+            {
+                return static_cast<double>(value);
+            };
+            set("held_millicores", amount(item.held.cpu_millis));
+            set("held_megabytes", amount(item.held.memory_mb));
+            set("held_accelerators", amount(item.held.accelerators));
+            set("limit_millicores", amount(item.limit.cpu_millis));
+            set("limit_megabytes", amount(item.limit.memory_mb));
+            set("limit_accelerators", amount(item.limit.accelerators));
+            set("share_ratio", item.share);
+            set("entitled_ratio", item.entitled_share);
+            set("lent_ratio", std::max(0.0, item.entitled_share - item.share));
+            set("waiting_tasks", amount(item.waiting_tasks));
+        }
+    }
+    counters_.set_by_customer(std::move(gauges));
+}
+
 void site_vm::show_metrics(const std::function<void(http_response)>& respond)
 {
     counters_.set("log_lines_dropped",
@@ -615,6 +652,7 @@
         counters_.set("config_age_milliseconds",
                       static_cast<double>(age.count()));
     }
+    show_customers();
     http_response response;
     response.content_type = "text/plain; version=0.0.4";
     response.body = counters_.prometheus();
--- a/src/policy/customer_limits.cpp
+++ b/src/policy/customer_limits.cpp
@@ -90,6 +90,20 @@
                         together) == together;
 }
 
+std::optional<std::size_t> step_beyond_limit(const resources& limit,
+                                             double overage,
+                                             std::span<const step_spec> steps)
+{
+    for (std::size_t i = 0; i < steps.size(); ++i)
+    {
+        if (!can_run_under(limit, overage, steps[i], steps[i].tasks))
+        {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
 customer_limits::customer_limits(std::span<const customer_use> customers,
                                  double overage)
     : overage_(overage)
--- a/src/policy/customer_limits.hpp
+++ b/src/policy/customer_limits.hpp
@@ -7,6 +7,7 @@
 #include "policy/guarantee_claims.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -25,6 +26,11 @@
                    const step_spec& step,
                    int tasks);
 
+// Index of the first step that can never run under the limit. Thread safe.
+std::optional<std::size_t> step_beyond_limit(const resources& limit,
+                                             double overage,
+                                             std::span<const step_spec> steps);
+
 // The ledger of one plan, rebuilt from the records of the servers each time.
 // Not thread safe. Precondition of all methods: the customer's index is valid.
 class customer_limits
--- a/src/report/counters.cpp
+++ b/src/report/counters.cpp
@@ -1,6 +1,7 @@
 #include "report/counters.hpp"
 
 #include <cstdio>
+#include <utility>
 
 namespace poplarramp
 {
@@ -10,14 +11,35 @@
 
 const std::string prefix = "poplarramp_";
 
+std::string text_of(double value)
+{
+    char number[32];
+    std::snprintf(number, sizeof number, "%.9g", value);
+    return number;
+}
+
 void append_value(std::string& text,
                   const std::string& name,
                   const char* type,
                   double value)
 {
-    char number[32];
-    std::snprintf(number, sizeof number, "%.9g", value);
-    text += "# TYPE " + name + " " + type + "\n" + name + " " + number + "\n";
+    text += "# TYPE " + name + " " + type + "\n" + name + " " + text_of(value) +
+            "\n";
+}
+
+// Quotes and backslashes would end the label early.
+std::string escaped(const std::string& label)
+{
+    std::string text;
+    for (const char item : label)
+    {
+        if (item == '"' || item == '\\')
+        {
+            text += '\\';
+        }
+        text += item == '\n' ? ' ' : item;
+    }
+    return text;
 }
 
 } // namespace
@@ -32,6 +54,12 @@
     gauges_[name] = value;
 }
 
+void counters::set_by_customer(
+    std::map<std::string, std::map<std::string, double>> gauges)
+{
+    customer_gauges_ = std::move(gauges);
+}
+
 void counters::record(const std::string& name, milliseconds value)
 {
     histograms_[name].record(value);
@@ -48,6 +76,16 @@
     {
         append_value(text, prefix + name, "gauge", value);
     }
+    for (const auto& [name, values] : customer_gauges_)
+    {
+        const auto full = prefix + name;
+        text += "# TYPE " + full + " gauge\n";
+        for (const auto& [customer, value] : values)
+        {
+            text += full + "{customer=\"" + escaped(customer) + "\"} " +
+                    text_of(value) + "\n";
+        }
+    }
     for (const auto& [name, values] : histograms_)
     {
         const auto full = prefix + name + "_seconds";
--- a/src/report/counters.hpp
+++ b/src/report/counters.hpp
@@ -17,6 +17,10 @@
 public:
     void add(const std::string& name, double amount);
     void set(const std::string& name, double value);
+    // Replaces all gauges that have a value for each customer; the maps are by
+    // name, then by customer.
+    void set_by_customer(
+        std::map<std::string, std::map<std::string, double>> gauges);
     void record(const std::string& name, milliseconds value);
 
     // Names get the prefix "poplarramp_"; counters end in "_total", histograms
@@ -26,6 +30,7 @@
 private:
     std::map<std::string, double> totals_;
     std::map<std::string, double> gauges_;
+    std::map<std::string, std::map<std::string, double>> customer_gauges_;
     std::map<std::string, time_histogram> histograms_;
 };
 
--- a/tests/domain_limits_test.cpp
+++ b/tests/domain_limits_test.cpp
@@ -50,20 +50,39 @@
         return static_cast<int>(sim.random() % static_cast<unsigned>(limit));
     }
 
-    // Any VM that is up.
+    // Any VM that serves callers; -1: none.
     int pick_vm()
     {
-        int vm = pick(3);
-        while (!sim.vms[static_cast<std::size_t>(vm)]->up)
+        const int first = pick(3);
+        for (int i = 0; i < 3; ++i)
         {
-            vm = (vm + 1) % 3;
+            const int vm = (first + i) % 3;
+            const auto& item = *sim.vms[static_cast<std::size_t>(vm)];
+            if (item.up && item.api->ready())
+            {
+                return vm;
+            }
+        }
+        return -1;
+    }
+
+    void cancel(const std::string& id, const std::string& queue)
+    {
+        const auto vm = pick_vm();
+        if (vm >= 0)
+        {
+            sim.cancel(vm, id, queue);
         }
-        return vm;
     }
 
     void submit(int number)
     {
         const auto vm = pick_vm();
+        if (vm < 0)
+        {
+            sim.at(sim.now + 500, [this, number] { submit(number); });
+            return;
+        }
         const auto queue = "q" + std::to_string(pick(3));
         const auto id = "job-" + std::to_string(number);
         sim.submit(
@@ -71,7 +90,7 @@
         if (pick(4) == 0)
         {
             sim.at(sim.now + pick(3000),
-                   [this, id, queue] { sim.cancel(pick_vm(), id, queue); });
+                   [this, id, queue] { cancel(id, queue); });
         }
     }
 
@@ -199,3 +218,41 @@
         fixture.check_no_violations();
     }
 }
+
+// Guards against a job that waits forever, since its customer's limit can never
+// hold it, and against a false refusal of a job that was accepted before.
+TEST(domain_limits, job_that_never_fits_is_refused)
+{
+    limits_fixture fixture;
+    auto& sim = fixture.sim;
+    failure refusal;
+    bool repeated = false;
+    const auto gang = one_step(3, 3, true);
+    sim.submit(0,
+               "job-1",
+               "q1",
+               gang,
+               [&refusal](const job_api_reply& reply)
+               { refusal = reply.error; });
+    sim.submit(0, "job-2", "q1", one_step(9, 1));
+    sim.submit(0, "job-3", "q1", gang, nullptr, "tile-key");
+    sim.run(milliseconds(1000));
+    CHECK(refusal.code == result_code::shed);
+    CHECK(!sim.stored_rows.contains("jobs/job-1/a"));
+    CHECK(sim.started_jobs.contains("job-2"));
+    CHECK(sim.started_jobs.contains("job-3"));
+    fixture.set_limit(9);
+    sim.run(milliseconds(1000));
+    sim.submit(0, "job-4", "q1", gang);
+    sim.run(milliseconds(100));
+    fixture.set_limit(8);
+    sim.run(milliseconds(1000));
+    sim.submit(1,
+               "job-4",
+               "q1",
+               gang,
+               [&repeated](const job_api_reply& reply)
+               { repeated = !reply.error; });
+    sim.run(milliseconds(1000));
+    CHECK(repeated);
+}
--- a/tests/domain_soak_test.cpp
+++ b/tests/domain_soak_test.cpp
@@ -64,6 +64,16 @@
         }
     }
 
+    // Limits the customer of all jobs; no start may exceed that.
+    void limit_customer(std::int64_t accelerators)
+    {
+        auto& customer = sim_.config.customers.front();
+        customer.limit.accelerators = accelerators;
+        ++sim_.config.version;
+        sim_.put_config();
+        sim_.checked_limits[customer.name] = customer.limit;
+    }
+
     // Returns the violations; empty if there were none.
     std::string run()
     {
@@ -570,6 +580,24 @@
     }
 }
 
+// Guards against a customer that exceeds its limit under concurrent faults, or
+// whose jobs wait forever since runs that are gone still count.
+TEST(domain_soak, limited_customer)
+{
+    // Three fifths of the fleet; the largest job needs a third more.
+    constexpr std::int64_t limit = 24;
+    const auto first = number_from_environment("POPLARRAMP_SOAK_FIRST", 1);
+    const auto seeds = number_from_environment("POPLARRAMP_SOAK_SEEDS", 60);
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed)
+    {
+        soak_run run(seed, seed % 2 == 0 ? all_fault_kinds : relay_fault_kinds);
+        run.limit_customer(limit);
+        const auto text = run.run();
+        const auto message = "seed " + std::to_string(seed) + ": " + text;
+        CHECK_TEXT(text.empty(), message.c_str());
+    }
+}
+
 // Guards against tasks that crash server after server, against giving up other
 // tasks, and against starts over a capacity that has changed.
 TEST(domain_soak, crashes_and_changed_capacity)
--- a/tests/policy_limits_test.cpp
+++ b/tests/policy_limits_test.cpp
@@ -303,7 +303,8 @@
         for (int i = 0; i < 3; ++i)
         {
             const auto customer = add_customer(i == 0 ? 0 : 1 + pick(30), 8);
-            input.customers[customer].limit.cpu_millis = std::int64_t{1000} * pick(20);
+            input.customers[customer].limit.cpu_millis =
+                std::int64_t{1000} * pick(20);
         }
         for (std::size_t i = 0; i < 6; ++i)
         {
