Merge shares of customers and room for urgent jobs under a limit

Within a level restarts come first, steps beyond their customer's rate last, then the prospects decide.

--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -14,6 +14,7 @@
 #include "domain/run_log.hpp"
 #include "domain/server_api.hpp"
 #include "domain/server_registry.hpp"
+#include "policy/customer_rates.hpp"
 #include "policy/step_planner.hpp"
 
 #include <cstdint>
@@ -52,6 +53,19 @@
     milliseconds retention{300000};
 };
 
+// Figures of one customer for the metrics page.
+struct customer_figures
+{
+    resources held;
+    resources limit;
+    // Tasks that could be placed.
+    std::int64_t waiting_tasks = 0;
+    // Share of the fleet that it holds, in the dimension of which it holds
+    // most, and that it is entitled to by its weight.
+    double share = 0;
+    double entitled_share = 0;
+};
+
 struct dispatcher_hooks
 {
     table store;
@@ -99,6 +113,10 @@
     // To be called when the configuration or an evacuation has changed.
     void on_deployment_changed();
 
+    // What the customers with a limit or a weight hold and wait for, by name.
+    // Looks at all runs.
+    std::map<std::string, customer_figures> figures_by_customer() const;
+
     const server_registry& servers() const
     {
         return registry_;
@@ -266,6 +284,12 @@
                  const run_id& run,
                  const order_reply& reply);
 
+    // Limits and shares of customers (dispatcher_limits.cpp).
+    void record_rate(const step_job& job);
+    void restore_rates();
+    void log_limited(const planning_view& view,
+                     const std::vector<std::size_t>& steps);
+
     // Planning (dispatcher_plan.cpp).
     void plan();
     void place(const planning_view& view, const planned_placement& decision);
@@ -307,6 +331,9 @@
     time_point next_classification_{};
     // Steps that cannot be placed, with the time of the next report.
     std::map<std::pair<step_id, block_reason>, time_point> blocked_steps_;
+    customer_rates rates_;
+    // When the limit of its customer is next logged as what a job waits for.
+    std::map<std::string, time_point> next_limit_log_;
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -31,7 +31,8 @@
                                     speeds_,
                                     settings_.limit_overage,
                                     settings_.weigh_value,
-                                    &jobs_});
+                                    &jobs_,
+                                    &rates_});
     if (view.input.steps.empty())
     {
         return;
@@ -47,6 +48,7 @@
     {
         place(view, item);
     }
+    log_limited(view, decisions.limited);
     for (std::size_t i = 0; i < victims.size(); ++i)
     {
         preempt(view, decisions.preemptions[i], victims[i]);
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -7,6 +7,7 @@
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/server_registry.hpp"
+#include "policy/customer_rates.hpp"
 #include "policy/step_planner.hpp"
 
 #include <cstdint>
@@ -44,6 +45,8 @@
     // All accepted jobs, to find the customers of runs whose job has ended; may
     // be null.
     const job_directory* directory = nullptr;
+    // Which jobs exceed the rates of their customers; may be null.
+    const customer_rates* rates = nullptr;
 };
 
 // Valid until the records change.
@@ -71,6 +74,12 @@
     placed_runs runs_of(const std::vector<std::size_t>& groups) const;
 };
 
+// What a run counts with under the limit of its customer. `record` is that of
+// the job in the directory, or null. Thread safe.
+resources charged_for_run(const step_job& job,
+                          const job_record* record,
+                          const run_id& run);
+
 // Collects the waiting steps of all jobs. Opens due repetitions, and sets
 // `ready_since` of the steps that it meets first. `input.steps` is empty if no
 // step waits; nothing else is filled in then.
--- a/src/policy/customer_limits.cpp
+++ b/src/policy/customer_limits.cpp
@@ -90,6 +90,20 @@
                         together) == together;
 }
 
+std::optional<std::size_t> step_beyond_limit(const resources& limit,
+                                             double overage,
+                                             std::span<const step_spec> steps)
+{
+    for (std::size_t i = 0; i < steps.size(); ++i)
+    {
+        if (!can_run_under(limit, overage, steps[i], steps[i].tasks))
+        {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
 customer_limits::customer_limits(std::span<const customer_use> customers,
                                  double overage)
     : overage_(overage)
@@ -164,6 +178,11 @@
     accounts_[customer].held_after_stops -= released;
 }
 
+void customer_limits::keep_running(std::size_t customer, const resources& kept)
+{
+    accounts_[customer].held_after_stops += kept;
+}
+
 void customer_limits::add_expected(std::size_t customer,
                                    const step_spec& step,
                                    int tasks)
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -105,13 +105,14 @@
     update_reservation_levels();
     keep_headroom();
     int excluded = -1;
-    for (const auto index : ranked_steps())
+    auto order = steps_by_share();
+    while (const auto index = order.next(round_.limits))
     {
-        while (excluded < level_of(index))
+        while (excluded < level_of(*index))
         {
             exclude_reservations(++excluded);
         }
-        plan_step(index);
+        plan_step(*index);
     }
     auto& decisions = round_.decisions;
     if (decisions.placements.empty() && decisions.preemptions.empty())
@@ -176,9 +177,10 @@
     {
         const auto& step = steps[index];
         return std::
-            tuple<int, bool, job_prospect, std::int64_t, const step_id&>(
+            tuple<int, bool, bool, job_prospect, std::int64_t, const step_id&>(
                 level_of(index),
                 !step.restart_since,
+                yields(index),
                 prospect_of(step),
                 step.deadline_unix_ms,
                 step.id);
@@ -391,6 +393,10 @@
         placed = place_restart(index);
     }
     const int missing = room.after_stops - placed;
+    if (round_.in_guarantee[index])
+    {
+        round_.limits.add_expected(step.customer, *step.request.step, missing);
+    }
     if (has_reservation)
     {
         exclude(own->second, false);
@@ -558,8 +564,9 @@
         return;
     }
     const bool restart = step.restart_since.has_value();
-    if (!urgent && !restart &&
-        (!step.request.step->gang || !is_worth_reserving(step)))
+    if (yields(index) ||
+        (!urgent && !restart &&
+         (!step.request.step->gang || !is_worth_reserving(step))))
     {
         return;
     }
