Classify servers relative to the median of all of them

Once speeds are in force, slow servers get most work and are known best, so that the median of the known servers drifted to the slow class: headroom then took slow servers for usual ones.

--- a/src/policy/server_speed.cpp
+++ b/src/policy/server_speed.cpp
@@ -294,11 +294,16 @@
     fleet_ = {};
     std::vector<double> factors;
     factors.reserve(servers.size());
+    // The usual speed is that of all servers: those with much work, which are
+    // known best, are the slow ones once speeds are in force.
+    std::vector<double> all;
+    all.reserve(servers.size());
     double sum = 0;
     double squares = 0;
     double error = 0;
     for (const auto* server : servers)
     {
+        all.push_back(server->log_factor);
         if (server->runs >= min_runs_for_spread)
         {
             // Without the assumption that the server is like the others.
@@ -318,14 +323,15 @@
     }
     const double low = percentile(factors, low_percentile);
     const double high = percentile(factors, high_percentile);
-    median_ = percentile(factors, 0.5);
+    const double median = percentile(factors, 0.5);
+    median_ = percentile(all, 0.5);
     // The errors of the estimates widen the spread.
     const auto count = static_cast<double>(factors.size());
     const double variance = squares / count - sum * sum / count / count;
     const double true_share =
         variance > 0 ? std::max(0.0, 1 - error / count / variance) : 0;
-    fleet_.spread = std::exp(std::max(high - median_, median_ - low) *
-                             std::sqrt(true_share));
+    fleet_.spread =
+        std::exp(std::max(high - median, median - low) * std::sqrt(true_share));
 }
 
 void server_speed::set_level(speed_estimate& server, double tolerated) const
