--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -23,6 +23,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -40,6 +41,9 @@
     // Factor on the run time of a task far from its data, or of a gang that
     // spans several racks.
     double remote_slowdown = 3;
+    // Learn the speed of the servers, and use it where speeds differ by more
+    // than the queues bear.
+    bool learn_speeds = false;
     // Share of its limit by which a customer may exceed it, for a gang that is
     // wider than the limit.
     double limit_overage = 0;
@@ -116,6 +120,11 @@
         return registry_;
     }
 
+    const server_speed& speeds() const
+    {
+        return speeds_;
+    }
+
 private:
     // What a commit stores; takes effect here once the commit is confirmed.
     struct commit_contents
@@ -183,7 +192,8 @@
                        const renewal_reply& reply);
     void on_listed(const std::string& id,
                    server_record& server,
-                   const listed_run& listed);
+                   const listed_run& listed,
+                   std::optional<server_clock> listed_on);
     void on_ended(const std::string& id,
                   server_record& server,
                   const listed_end& end);
@@ -223,6 +233,24 @@
     std::string server_of(const run_id& run) const;
     server_run* find_run(const std::string& server, const run_id& run);
 
+    // Speed of the servers (dispatcher_speeds.cpp).
+    std::uint64_t comparison_of(const server_record& server,
+                                const run_id& run) const;
+    void observe_progress(server_record& server,
+                          const run_id& run,
+                          server_run& record,
+                          int percent,
+                          server_clock clock);
+    void observe_ends(server_record& server,
+                      time_point requested_at,
+                      const renewal_reply& reply);
+    void observe(server_record& server,
+                 const run_id& run,
+                 server_run& record,
+                 const pace_sample& sample);
+    void classify_servers();
+    void log_class(const server_record& server, int before) const;
+
     // Start and stop orders (dispatcher_orders.cpp).
     bool may_start_on(const server_record& server) const;
     server_run* run_of_reply(const std::string& id,
@@ -266,6 +294,7 @@
     void preempt(const planning_view& view,
                  const planned_preemption& decision,
                  const placed_runs& victims);
+    void report_blocked(std::span<const blocked_step> blocked);
 
     const dispatcher_settings settings_;
     const dispatcher_hooks hooks_;
@@ -299,6 +328,10 @@
     customer_rates rates_;
     // When the limit of its customer is next logged as what a job waits for.
     std::map<std::string, time_point> next_limit_log_;
+    server_speed speeds_;
+    time_point next_classification_{};
+    // Steps that cannot be placed, with the time of the next report.
+    std::map<std::pair<step_id, block_reason>, time_point> blocked_steps_;
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -36,6 +36,7 @@
     // Factor on the run time of a task far from its data, or of a gang that
     // spans several racks.
     double remote_slowdown = 1;
+    const server_speed& speeds;
     // Share of its limit by which a customer may exceed it, for a gang that is
     // wider than the limit.
     double limit_overage = 0;
--- a/src/policy/step_planner_limits.cpp
+++ b/src/policy/step_planner_limits.cpp
@@ -39,18 +39,22 @@
     }
 }
 
-std::int64_t step_planner::waiting_urgent_accelerators() const
+std::int64_t step_planner::waiting_urgent_accelerators()
 {
     std::int64_t accelerators = 0;
     auto counted = round_.limits;
-    for (const auto& step : round_.input.steps)
+    const auto& steps = round_.input.steps;
+    for (std::size_t i = 0; i < steps.size(); ++i)
     {
-        if (step.priority != 0)
+        const auto& step = steps[i];
+        // A wide step has headroom only in its reservation, which is bounded.
+        if (step.priority != 0 ||
+            (is_wide(i, step.request.tasks) && !has_preempted_for(i)))
         {
             continue;
         }
         const auto& spec = *step.request.step;
-        int tasks = step.request.tasks;
+        int tasks = tasks_in_reach(i);
         if (counted.any_limited())
         {
             tasks =
