--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -393,6 +393,7 @@
         placed = place_restart(index);
     }
     const int missing = room.after_stops - placed;
+    round_.input.steps[index].request.tasks = room.after_stops;
     if (round_.in_guarantee[index])
     {
         round_.limits.add_expected(step.customer, *step.request.step, missing);
