--- a/src/config/site_settings.cpp
+++ b/src/config/site_settings.cpp
@@ -12,10 +12,16 @@
 constexpr int max_bound_ms = 3'600'000;
 constexpr double max_bound_s = 3600;
 constexpr double max_remote_slowdown = 1000;
+constexpr double max_limit_overage = 10;
 constexpr double ms_per_s = 1000;
 constexpr double min_processor_share = 0.01;
 constexpr double max_processor_share = 1024;
 constexpr int max_servers_for_relays = 1'000'000;
+constexpr int min_memory_mb = 32;
+constexpr int max_memory_mb = 1'048'576;
+// 200 descriptors are for files and for calls that the process makes.
+constexpr int min_descriptors = 300;
+constexpr int max_descriptors = 1'048'576;
 
 const std::string regions_format = "object with the region of each zone";
 
@@ -80,6 +86,8 @@
         seconds_field("status_time_s", target.status_retention),
         number_field(
             "far_factor", target.remote_slowdown, 1, max_remote_slowdown),
+        number_field(
+            "limit_overage", target.limit_overage, 0, max_limit_overage),
     };
 }
 
@@ -107,6 +115,17 @@
                                     target.min_servers_for_relays,
                                     1,
                                     max_servers_for_relays)}),
+        object_field("scheduling",
+                     {flag_field("learn_speeds", target.learn_speeds)}),
+        object_field("limits",
+                     {integer_field("memory_mb",
+                                    target.limits.memory_mb,
+                                    min_memory_mb,
+                                    max_memory_mb),
+                      integer_field("descriptors",
+                                    target.limits.descriptors,
+                                    min_descriptors,
+                                    max_descriptors)}),
         object_field("bounds", bound_schema(target.bounds)),
         object_field("log", log_schema(target.log)),
     };
--- a/src/config/site_settings.hpp
+++ b/src/config/site_settings.hpp
@@ -40,6 +40,19 @@
     milliseconds status_retention{120000};
     // Factor on run times on another rack than the data, or across racks.
     double remote_slowdown = 3;
+    // Share of its limit by which a customer may exceed it, for a gang that is
+    // wider than the limit.
+    double limit_overage = 0;
+};
+
+// What the platform grants to the process of this VM.
+struct site_limit_settings
+{
+    // The platform ends a process that exceeds it; parts of it bound what the
+    // process holds for callers.
+    int memory_mb = 128;
+    // Files and connections that the process may have open.
+    int descriptors = 4096;
 };
 
 struct site_settings
@@ -55,6 +68,10 @@
     double processor_share = 1;
     // The leader makes the calls of smaller domains itself.
     int min_servers_for_relays = 128;
+    // The leader learns the speed of the backend servers and uses it where
+    // speeds differ by more than the queues bear.
+    bool learn_speeds = false;
+    site_limit_settings limits;
     site_bound_settings bounds;
     log_settings log{log_level::info, "stdout"};
 };
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -5,6 +5,7 @@
 #define POPLARRAMP_DOMAIN_DISPATCHER_HPP
 
 #include "domain/deployment_view.hpp"
+#include "domain/gang_ends.hpp"
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/leadership.hpp"
@@ -39,6 +40,12 @@
     // Factor on the run time of a task far from its data, or of a gang that
     // spans several racks.
     double remote_slowdown = 3;
+    // Learn the speed of the servers, and use it where speeds differ by more
+    // than the queues bear.
+    bool learn_speeds = false;
+    // Share of its limit by which a customer may exceed it, for a gang that is
+    // wider than the limit.
+    double limit_overage = 0;
     // How long the rows of a finished job are kept.
     milliseconds retention{300000};
 };
@@ -95,6 +102,11 @@
         return registry_;
     }
 
+    const server_speed& speeds() const
+    {
+        return speeds_;
+    }
+
 private:
     // What a commit stores; takes effect here once the commit is confirmed.
     struct commit_contents
@@ -120,6 +132,9 @@
     void restore_jobs();
     // `progress_row` is null if the job has none.
     void restore_job(const step_job& job, const std::string* progress_row);
+    void restore_ended_job(const std::string& id,
+                           const job_record& job,
+                           const std::string& progress_row);
     void find_restarted_servers();
     void on_server_row(const table_row_change& change);
     void on_server_rows(const std::vector<table_row>& rows);
@@ -159,10 +174,13 @@
                        const renewal_reply& reply);
     void on_listed(const std::string& id,
                    server_record& server,
-                   const listed_run& listed);
+                   const listed_run& listed,
+                   std::optional<server_clock> listed_on);
     void on_ended(const std::string& id,
                   server_record& server,
                   const listed_end& end);
+    void
+    record_gang_end(const listed_end& end, bool stopping, std::size_t members);
     placed_runs newer_runs(const job_progress& job, const run_id& ended) const;
     void on_failed_run(const std::string& id, server_record& server);
     void resolve_unlisted(const std::string& id,
@@ -171,10 +189,15 @@
                           const renewal_reply& reply);
     std::optional<server_clock> lease_for(const server_record& server) const;
     server_target target_of(const server_record& server) const;
+    void drop_ended_members(const std::string& id, server_record& server);
     void expire_lost_server(const std::string& id, server_record& server);
     void on_lost_runs(const std::string& id,
                       const std::map<run_id, server_run>& runs,
                       bool crashed);
+    void record_losses(const std::string& id,
+                       const std::map<run_id, server_run>& runs,
+                       const std::map<run_id, server_run>& lost,
+                       bool crashed);
     void record_loss(const std::string& id,
                      const run_id& run,
                      loss_role role,
@@ -192,6 +215,24 @@
     std::string server_of(const run_id& run) const;
     server_run* find_run(const std::string& server, const run_id& run);
 
+    // Speed of the servers (dispatcher_speeds.cpp).
+    std::uint64_t comparison_of(const server_record& server,
+                                const run_id& run) const;
+    void observe_progress(server_record& server,
+                          const run_id& run,
+                          server_run& record,
+                          int percent,
+                          server_clock clock);
+    void observe_ends(server_record& server,
+                      time_point requested_at,
+                      const renewal_reply& reply);
+    void observe(server_record& server,
+                 const run_id& run,
+                 server_run& record,
+                 const pace_sample& sample);
+    void classify_servers();
+    void log_class(const server_record& server, int before) const;
+
     // Start and stop orders (dispatcher_orders.cpp).
     bool may_start_on(const server_record& server) const;
     server_run* run_of_reply(const std::string& id,
@@ -258,7 +299,10 @@
     // State of each job in the table.
     std::map<std::string, step_job_state> stored_states_;
     std::set<std::string> dirty_jobs_;
+    gang_ends gang_ends_;
     step_planner planner_;
+    server_speed speeds_;
+    time_point next_classification_{};
     // Steps that cannot be placed, with the time of the next report.
     std::map<std::pair<step_id, block_reason>, time_point> blocked_steps_;
     run_log run_log_;
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -104,8 +104,10 @@
     round_.room_beside_long_runs = room_until(round_.input.servers,
                                               round_.input.groups,
                                               round_.input.now + long_run_time);
+    start_ledger();
     validate_reservations();
     claim_guarantees();
+    drop_blocked_reservations();
     update_reservation_levels();
     keep_headroom();
     int excluded = -1;
@@ -156,7 +158,9 @@
     for (const auto index : urgent)
     {
         const auto& request = steps[index].request;
-        if (!fits_empty_servers(request))
+        if (!fits_empty_servers(request) ||
+            !round_.limits.can_ever_run(
+                steps[index].customer, *request.step, request.tasks))
         {
             continue;
         }
@@ -207,17 +211,7 @@
         urgent +=
             group.priority == 0 && !group.stopping ? group.accelerators : 0;
     }
-    const auto& steps = round_.input.steps;
-    for (std::size_t i = 0; i < steps.size(); ++i)
-    {
-        // A wide step has headroom only in its reservation, which is bounded.
-        if (steps[i].priority == 0 &&
-            (!is_wide(i, steps[i].request.tasks) || has_preempted_for(i)))
-        {
-            urgent +=
-                tasks_in_reach(i) * steps[i].request.step->need.accelerators;
-        }
-    }
+    urgent += waiting_urgent_accelerators();
     headroom_.record(round_.input.now, urgent);
     if (round_.input.utilization >= busy_utilization)
     {
@@ -366,12 +360,31 @@
 }
 
 void step_planner::plan_step(std::size_t index)
+{
+    const auto room = room_under_limit(index);
+    if (room.after_stops == 0)
+    {
+        const auto own = reservations_.find(round_.input.steps[index].id);
+        if (own != reservations_.end())
+        {
+            close_reservation(own);
+        }
+        return;
+    }
+    round_.input.steps[index].request.tasks = room.now;
+    place_or_reserve(index, room);
+}
+
+void step_planner::place_or_reserve(std::size_t index, const limit_room& room)
 {
     const auto& step = round_.input.steps[index];
     if (step.request.isolated != isolation::none)
     {
         // A reservation would count on runs of others to end.
-        place_free(index, true);
+        if (room.now > 0)
+        {
+            place_free(index, true);
+        }
         return;
     }
     const auto own = reservations_.find(step.id);
@@ -380,12 +393,12 @@
     {
         exclude(own->second, true);
     }
-    int placed = place_free(index, has_reservation);
-    if (placed == 0 && step.restart_since)
+    int placed = room.now > 0 ? place_free(index, has_reservation) : 0;
+    if (placed == 0 && room.now > 0 && step.restart_since)
     {
         placed = place_restart(index);
     }
-    const int missing = step.request.tasks - placed;
+    const int missing = room.after_stops - placed;
     if (has_reservation)
     {
         exclude(own->second, false);
@@ -530,6 +543,7 @@
             server.free = {};
         }
     }
+    round_.limits.add_placed(step.customer, *step.request.step, result.tasks);
     if (step.priority == 0)
     {
         round_.claims.add_use(step.customer, result.tasks * need.accelerators);
--- a/src/policy/step_planner.hpp
+++ b/src/policy/step_planner.hpp
@@ -6,6 +6,7 @@
 
 #include "base/time.hpp"
 #include "policy/capacity_search.hpp"
+#include "policy/customer_limits.hpp"
 #include "policy/fit_cache.hpp"
 #include "policy/guarantee_claims.hpp"
 #include "policy/step_placement.hpp"
@@ -70,6 +71,9 @@
     std::vector<waiting_step> steps;
     // Guarantees of the customers, and what their urgent runs use.
     std::vector<customer_use> customers;
+    // Share of its limit that a customer may exceed it by for a gang that alone
+    // is wider.
+    double limit_overage = 0;
     // Share of all accelerators that is in use.
     double utilization = 0;
 };
@@ -119,6 +123,8 @@
     std::vector<planned_placement> placements;
     std::vector<planned_preemption> preemptions;
     std::vector<blocked_step> blocked;
+    // Indices of waiting steps of which tasks wait for their customer's limit.
+    std::vector<std::size_t> limited;
     // The plan was cut short and has changed something; another one is due at
     // once.
     bool incomplete = false;
@@ -153,6 +159,14 @@
         bool wide = false;
     };
 
+    // How many tasks of a step its customer's limit lets start now, and once
+    // the runs that are being stopped have ended.
+    struct limit_room
+    {
+        int now = 0;
+        int after_stops = 0;
+    };
+
     using reservation_map = std::map<step_id, reservation>;
 
     // Bounds the time for which capacity is kept for one wide step that waits
@@ -169,6 +183,10 @@
     {
         planning_input input;
         guarantee_claims claims{{}};
+        customer_limits limits;
+        // By customer: a gang waits for its room, which later steps of the
+        // customer must not take.
+        std::vector<bool> room_kept;
         // By waiting step.
         std::vector<bool> in_guarantee;
         fit_cache free_capacity;
@@ -203,6 +221,15 @@
     void exclude(const reservation& reserved, bool add_back);
 
     void plan_step(std::size_t index);
+
+    // Limits of the customers (step_planner_limits.cpp).
+    void start_ledger();
+    // Urgent tasks that the limits let run, in accelerators.
+    std::int64_t waiting_urgent_accelerators();
+    void drop_blocked_reservations();
+    limit_room room_under_limit(std::size_t index);
+
+    void place_or_reserve(std::size_t index, const limit_room& room);
     // Returns the number of tasks that are placed on free resources.
     int place_free(std::size_t index, bool has_reservation);
     int place_restart(std::size_t index);
