--- a/tests/domain_overload_test.cpp
+++ b/tests/domain_overload_test.cpp
@@ -286,6 +286,7 @@
     sim.run_until(milliseconds(5000),
                   [&sim] { return sim.leader() != nullptr; });
     sim.run(milliseconds(1000));
+    sim.task_times["busy"] = milliseconds(60000);
     sim.submit(0, "busy", "q2", one_step(20, 1));
     sim.run(milliseconds(1000));
     sim.submit(0, "hopeless", "q0", one_step(64, 8, true));
