Bound the stored and held state of recurring jobs; isolate refused rows

Change: each open repetition of a recurring job has a row of its own, a text over 60,000 bytes is stored in parts, and the row of the job names the open repetitions. Rows of the old form are read and replaced. A transaction counts its entries, so that a job with many rows takes several. The store's 400 and 413 are permanent refusals: the batch is split until one job is alone, which is quarantined; the list is part of the leader row. Other refusals are repeated as before. Repetitions are opened in the order of arrival within a quarter of the memory limit and dropped when they end. A job whose own row would be too long is refused with 400.

The same class elsewhere: a run that no open job has and whose start was not confirmed was never stopped, as stop_gang finds no server for it.

--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-const std::string progress_prefix = "runs/";
-
 constexpr int scan_page_rows = 500;
 constexpr milliseconds scan_timeout{2000};
 constexpr milliseconds load_retry_delay{200};
@@ -37,19 +35,6 @@
 // start within 2.7 s at the strictest.
 constexpr milliseconds max_plan_delay{1000};
 
-constexpr milliseconds expiry_interval{3000};
-// Each expired job takes up to four of the 100 entries of a transaction.
-constexpr std::size_t max_jobs_per_expiry = 20;
-
-// A transaction may have 100 entries and 1 MB.
-constexpr std::size_t max_jobs_per_commit = 45;
-constexpr std::size_t max_commit_bytes = 400'000;
-
-std::string progress_key(const std::string& job)
-{
-    return progress_prefix + job;
-}
-
 } // namespace
 
 dispatcher::dispatcher(dispatcher_settings settings,
@@ -188,8 +173,18 @@
     }
     for (auto& row : reply.rows)
     {
-        progress_rows_[row.key.substr(progress_prefix.size())] =
-            std::move(row.value);
+        const auto name = parse_progress_row_key(row.key);
+        if (name)
+        {
+            progress_texts_[name->job].add(*name, std::move(row.value));
+        }
+        else
+        {
+            log_line(log_level::warning,
+                     "sched",
+                     "The key of a progress row is invalid.",
+                     {{"key", row.key}});
+        }
     }
     progress_cursor_ = reply.next;
     progress_loaded_ = progress_cursor_.empty();
@@ -205,27 +200,30 @@
     {
         return;
     }
+    for (const auto& [id, texts] : progress_texts_)
+    {
+        stored_rows_.emplace(id, texts.rows());
+    }
+    quarantined_jobs_.insert(leader_.quarantined_jobs().begin(),
+                             leader_.quarantined_jobs().end());
     for (const auto& [id, record] : jobs_.all())
     {
         if (!record.job)
         {
             continue;
         }
-        const auto row = progress_rows_.find(id);
-        const bool ended = record.state && is_final(record.state->state);
         if (record.state)
         {
             stored_states_[id] = record.state->state;
         }
-        if (ended && row != progress_rows_.end())
+        if (record.state && is_final(record.state->state))
         {
             // Runs that still exist are found when their servers list them.
             ended_jobs_.insert(id);
         }
-        if (!ended)
+        else
         {
-            restore_job(*record.job,
-                        row == progress_rows_.end() ? nullptr : &row->second);
+            restore_job(*record.job);
         }
         const auto opened = open_jobs_.find(id);
         if (record.cancel_requested && opened != open_jobs_.end())
@@ -241,28 +239,30 @@
              {{"epoch", std::to_string(epoch_)},
               {"jobs", std::to_string(open_jobs_.size())},
               {"servers", std::to_string(registry_.all().size())}});
-    progress_rows_.clear();
+    progress_texts_.clear();
     request_plan();
 }
 
-void dispatcher::restore_job(const step_job& job,
-                             const std::string* progress_row)
+void dispatcher::restore_job(const step_job& job)
 {
+    if (quarantined_jobs_.contains(job.id))
+    {
+        return;
+    }
     job_progress restored(job);
     failure why;
-    if (progress_row != nullptr && !restored.read(*progress_row, why))
+    if (!read_progress(restored, why))
     {
         log_line(log_level::error,
                  "sched",
                  "The progress row of a job cannot be decoded; none of its "
                  "tasks is started or stopped.",
                  {{"job", job.id}, {"reason", why.reason}});
-        damaged_jobs_.insert(job.id);
+        quarantined_jobs_.insert(job.id);
         return;
     }
     auto& progress =
         open_jobs_.insert_or_assign(job.id, std::move(restored)).first->second;
-    progress.open_due_repetitions(hooks_.unix_now());
     for (const auto& [run, placed_on] : progress.placed_runs())
     {
         auto& server = registry_.at(placed_on.id);
@@ -285,6 +285,31 @@
     }
 }
 
+bool dispatcher::read_progress(job_progress& progress, failure& why) const
+{
+    const auto found = progress_texts_.find(progress.job().id);
+    if (found == progress_texts_.end())
+    {
+        return true;
+    }
+    const auto& texts = found->second;
+    const auto head = texts.text(head_document);
+    if (!head || !progress.read(*head, why))
+    {
+        return false;
+    }
+    for (const int document : texts.documents())
+    {
+        if (document != head_document &&
+            !progress.read_repetition_text(
+                document, *texts.text(document), why))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void dispatcher::on_server_rows(const std::vector<table_row>& rows)
 {
     for (auto& [id, server] : registry_.all())
@@ -380,6 +405,8 @@
     {
         ended_jobs_.erase(id);
         stored_states_.erase(id);
+        quarantined_jobs_.erase(id);
+        leader_.remove_quarantined_job(id);
         return;
     }
     if (!record->job)
@@ -387,6 +414,10 @@
         return;
     }
     add_job(*record);
+    if (record->cancel_requested && quarantined_jobs_.contains(id))
+    {
+        cancel_quarantined_job(id);
+    }
     const auto found = open_jobs_.find(id);
     if (record->cancel_requested && found != open_jobs_.end() &&
         !found->second.cancelled())
@@ -400,7 +431,7 @@
     const auto& job = *record.job;
     const bool ended = record.state && is_final(record.state->state);
     if (ended || open_jobs_.contains(job.id) || ended_jobs_.contains(job.id) ||
-        damaged_jobs_.contains(job.id))
+        quarantined_jobs_.contains(job.id))
     {
         return;
     }
@@ -412,8 +443,7 @@
               {"customer", job.customer},
               {"priority", std::to_string(job.policy.priority)},
               {"config", std::to_string(deployment_.version())}});
-    open_jobs_.try_emplace(job.id, job)
-        .first->second.open_due_repetitions(hooks_.unix_now());
+    open_jobs_.try_emplace(job.id, job);
     request_plan();
 }
 
@@ -439,7 +469,7 @@
 
 void dispatcher::mark_dirty(const std::string& job)
 {
-    dirty_jobs_.insert(job);
+    dirty_jobs_.push(job);
     request_plan();
 }
 
@@ -466,201 +496,4 @@
     request_plan();
 }
 
-void dispatcher::expire_jobs()
-{
-    const auto now = hooks_.now();
-    if (now < next_expiry_ || !leader_.can_commit())
-    {
-        return;
-    }
-    next_expiry_ = now + expiry_interval;
-    const auto oldest = hooks_.unix_now() - settings_.retention.count();
-    leader_batch batch;
-    std::vector<std::string> expired;
-    for (const auto& [id, record] : jobs_.all())
-    {
-        if (record.state && is_final(record.state->state) &&
-            record.state->since_unix_ms < oldest && !open_jobs_.contains(id) &&
-            expired.size() < max_jobs_per_expiry)
-        {
-            expired.push_back(id);
-            for (const auto kind : {job_row_kind::accepted,
-                                    job_row_kind::cancelled,
-                                    job_row_kind::state})
-            {
-                batch.removals.push_back(job_row_key(id, kind));
-            }
-            batch.removals.push_back(progress_key(id));
-        }
-    }
-    if (!expired.empty())
-    {
-        log_line(log_level::info,
-                 "sched",
-                 "Rows of ended jobs are deleted after their retention.",
-                 {{"jobs", std::to_string(expired.size())}});
-        leader_.commit(std::move(batch), [](bool) {});
-    }
-}
-
-void dispatcher::add_to_batch(const std::string& id,
-                              leader_batch& batch,
-                              commit_contents& contents)
-{
-    contents.jobs.push_back(id);
-    const auto found = open_jobs_.find(id);
-    if (found == open_jobs_.end())
-    {
-        return;
-    }
-    const auto& job = found->second;
-    const auto state = job.state();
-    const auto placed = job.placed_runs();
-    if (is_final(state) && placed.empty())
-    {
-        batch.removals.push_back(progress_key(id));
-        contents.removed_jobs.push_back(id);
-    }
-    else
-    {
-        batch.puts.push_back({progress_key(id), job.to_text()});
-    }
-    const auto stored = stored_states_.find(id);
-    if (state != step_job_state::queued &&
-        (stored == stored_states_.end() || stored->second != state))
-    {
-        const auto key = job_row_key(id, job_row_kind::state);
-        const auto text = to_text(job_state_row{state, hooks_.unix_now()});
-        batch.puts.push_back({key, text});
-        contents.states[id] = state;
-        contents.written.push_back({{key, text, 0}, false});
-    }
-    for (const auto& [run, placed_on] : placed)
-    {
-        const auto* record = find_run(placed_on.id, run);
-        if (record != nullptr && record->lifecycle.phase == run_phase::placing)
-        {
-            contents.placed.emplace_back(placed_on.id, run);
-        }
-    }
-}
-
-void dispatcher::commit()
-{
-    const bool has_unstored_ends = std::any_of(
-        registry_.all().begin(),
-        registry_.all().end(),
-        [](const auto& item)
-        { return item.second.last_applied_end > item.second.last_stored_end; });
-    if (!leader_.can_commit() || (dirty_jobs_.empty() && !has_unstored_ends))
-    {
-        return;
-    }
-    leader_batch batch;
-    commit_contents contents;
-    std::size_t bytes = 0;
-    while (!dirty_jobs_.empty() && contents.jobs.size() < max_jobs_per_commit &&
-           bytes < max_commit_bytes)
-    {
-        const auto id = *dirty_jobs_.begin();
-        dirty_jobs_.erase(dirty_jobs_.begin());
-        const auto before = batch.puts.size();
-        add_to_batch(id, batch, contents);
-        for (std::size_t i = before; i < batch.puts.size(); ++i)
-        {
-            bytes += batch.puts[i].value.size();
-        }
-    }
-    if (dirty_jobs_.empty())
-    {
-        for (const auto& [id, server] : registry_.all())
-        {
-            contents.ends[{id, server.registration.incarnation}] =
-                server.last_applied_end;
-        }
-    }
-    if (batch.puts.empty() && batch.removals.empty())
-    {
-        // Nothing to store: the ends were of runs that no open job has.
-        on_committed(contents);
-        return;
-    }
-    hooks_.count("store_commits", 1);
-    leader_.commit(
-        std::move(batch),
-        [weak = weak_from_this(), contents, sent = hooks_.now()](bool written)
-        {
-            const auto self = weak.lock();
-            if (!self)
-            {
-                return;
-            }
-            self->hooks_.record("store_commit", self->hooks_.now() - sent);
-            if (written)
-            {
-                self->on_committed(contents);
-            }
-            else
-            {
-                self->on_not_committed(contents);
-            }
-        });
-}
-
-void dispatcher::on_committed(const commit_contents& contents)
-{
-    for (const auto& [id, state] : contents.states)
-    {
-        stored_states_[id] = state;
-        run_log_.flush_job(id);
-        log_line(log_level::info,
-                 "sched",
-                 "The state of a job is stored.",
-                 {{"job", id}, {"state", std::string(name_of(state))}});
-        const auto job = open_jobs_.find(id);
-        const auto age = job == open_jobs_.end()
-                             ? milliseconds(0)
-                             : milliseconds(hooks_.unix_now() -
-                                            job->second.job().accepted_unix_ms);
-        if (is_final(state))
-        {
-            hooks_.count("jobs_" + std::string(name_of(state)), 1);
-        }
-        hooks_.record("job_time_to_" + std::string(name_of(state)), age);
-    }
-    for (const auto& change : contents.written)
-    {
-        hooks_.on_written(change);
-    }
-    for (const auto& [reporter, number] : contents.ends)
-    {
-        auto* server = registry_.find(reporter.id);
-        if (server != nullptr &&
-            server->registration.incarnation == reporter.incarnation)
-        {
-            server->last_stored_end = std::max(server->last_stored_end, number);
-        }
-    }
-    start_committed(contents.placed);
-    for (const auto& id : contents.removed_jobs)
-    {
-        const auto found = open_jobs_.find(id);
-        if (found != open_jobs_.end() && found->second.placed_runs().empty())
-        {
-            ended_jobs_.insert(id);
-            open_jobs_.erase(found);
-            planner_.forget_job(id);
-        }
-    }
-    request_plan();
-}
-
-void dispatcher::on_not_committed(const commit_contents& contents)
-{
-    for (const auto& id : contents.jobs)
-    {
-        dirty_jobs_.insert(id);
-    }
-}
-
 } // namespace poplarramp
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -4,11 +4,13 @@
 #ifndef POPLARRAMP_DOMAIN_DISPATCHER_HPP
 #define POPLARRAMP_DOMAIN_DISPATCHER_HPP
 
+#include "domain/commit_queue.hpp"
 #include "domain/deployment_view.hpp"
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/leadership.hpp"
 #include "domain/planning_view.hpp"
+#include "domain/progress_rows.hpp"
 #include "domain/row_watcher.hpp"
 #include "domain/run_log.hpp"
 #include "domain/server_api.hpp"
@@ -40,6 +42,8 @@
     double remote_slowdown = 3;
     // How long the rows of a finished job are kept.
     milliseconds retention{300000};
+    // Memory that a process may have.
+    std::int64_t memory_mb = 128;
 };
 
 struct dispatcher_hooks
@@ -98,8 +102,13 @@
     // What a commit stores; takes effect here once the commit is confirmed.
     struct commit_contents
     {
-        // Jobs to commit again if the commit fails.
+        // Jobs to commit again if the commit fails, and their repetitions whose
+        // documents are stored or removed.
         std::vector<std::string> jobs;
+        std::vector<std::pair<std::string, int>> documents;
+        std::vector<std::pair<std::string, int>> removed_documents;
+        // Jobs of which a part is left for a later commit.
+        std::vector<std::string> unfinished;
         // New states of jobs.
         std::map<std::string, step_job_state> states;
         // Runs to start.
@@ -117,8 +126,9 @@
     void load_progress();
     void on_progress_page(table_scan_reply reply);
     void restore_jobs();
-    // `progress_row` is null if the job has none.
-    void restore_job(const step_job& job, const std::string* progress_row);
+    void restore_job(const step_job& job);
+    // Reads the rows of the job, if it has any.
+    bool read_progress(job_progress& progress, failure& why) const;
     void find_restarted_servers();
     void on_server_row(const table_row_change& change);
     void on_server_rows(const std::vector<table_row>& rows);
@@ -135,15 +145,35 @@
     void mark_dirty(const std::string& job);
     void request_plan();
     void advance();
-    void expire_jobs();
 
-    // Commits (dispatcher.cpp).
+    // Commits (dispatcher_commit.cpp).
     void commit();
     void add_to_batch(const std::string& id,
                       leader_batch& batch,
                       commit_contents& contents);
+    // Adds the documents of a recurring job.
+    void add_repetitions(const std::string& id,
+                         job_progress& job,
+                         leader_batch& batch,
+                         commit_contents& contents);
+    // Adds removals of the rows of a job while there is room. Returns false if
+    // rows are left.
+    bool remove_rows(const std::string& id,
+                     leader_batch& batch,
+                     commit_contents& contents);
+    void add_state(const std::string& id,
+                   step_job_state state,
+                   leader_batch& batch,
+                   commit_contents& contents);
+    void
+    add_placed(const std::vector<std::pair<run_id, server_incarnation>>& placed,
+               commit_contents& contents);
     void on_committed(const commit_contents& contents);
-    void on_not_committed(const commit_contents& contents);
+    void on_not_committed(const commit_contents& contents,
+                          commit_outcome outcome);
+    void expire_jobs();
+    void quarantine(const std::string& id, std::string_view reason);
+    void cancel_quarantined_job(const std::string& id);
 
     // Calls to backend servers (dispatcher_servers.cpp).
     void poll_servers();
@@ -224,6 +254,7 @@
 
     // Planning (dispatcher_plan.cpp).
     void plan();
+    void open_due_repetitions();
     void place(const planning_view& view, const planned_placement& decision);
     void preempt(const planning_view& view,
                  const planned_preemption& decision,
@@ -241,7 +272,8 @@
     server_registry registry_;
     // Servers that were lost with runs, and the open jobs of these.
     std::map<server_incarnation, std::set<std::string>> lost_servers_;
-    std::map<std::string, std::string> progress_rows_;
+    // Rows of progress that a new leader has read, by job.
+    std::map<std::string, progress_texts> progress_texts_;
     std::string progress_cursor_;
     bool progress_in_flight_ = false;
     bool progress_loaded_ = false;
@@ -251,11 +283,16 @@
     std::map<std::string, job_progress> open_jobs_;
     // Ended jobs, which are not opened again. Erased with their rows.
     std::set<std::string> ended_jobs_;
-    // Jobs whose progress is not known, since their rows cannot be decoded.
-    std::set<std::string> damaged_jobs_;
+    // Jobs of which no task is started, and none stopped unless the job is
+    // cancelled: their progress cannot be decoded or stored.
+    std::set<std::string> quarantined_jobs_;
+    // Progress rows that may exist, by job.
+    std::map<std::string, progress_rows> stored_rows_;
     // State of each job in the table.
     std::map<std::string, step_job_state> stored_states_;
-    std::set<std::string> dirty_jobs_;
+    commit_queue dirty_jobs_;
+    // Jobs of which no further repetition is open for want of memory.
+    std::set<std::string> jobs_without_memory_;
     step_planner planner_;
     run_log run_log_;
     bool plan_due_ = true;
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -1,6 +1,7 @@
 // Planning: carries out the decisions of the planner.
 #include "base/log.hpp"
 #include "domain/dispatcher.hpp"
+#include "domain/open_work.hpp"
 
 #include <utility>
 
@@ -13,6 +14,7 @@
     {
         return;
     }
+    open_due_repetitions();
     auto view = make_planning_view({hooks_.now(),
                                     hooks_.unix_now(),
                                     open_jobs_,
@@ -45,6 +47,25 @@
     }
 }
 
+void dispatcher::open_due_repetitions()
+{
+    auto waiting = open_due_work(
+        open_jobs_, hooks_.unix_now(), max_open_tasks(settings_.memory_mb));
+    for (const auto& id : waiting)
+    {
+        if (!jobs_without_memory_.contains(id))
+        {
+            hooks_.count("jobs_without_memory", 1);
+            log_line(log_level::info,
+                     "sched",
+                     "Tasks of a job wait, since the leader already holds the "
+                     "state of as many as its memory allows.",
+                     {{"job", id}});
+        }
+    }
+    jobs_without_memory_ = std::move(waiting);
+}
+
 void dispatcher::place(const planning_view& view,
                        const planned_placement& decision)
 {
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -285,16 +285,18 @@
     server_run run_record;
     run_record.untracked = true;
     run_record.started_at = now;
+    const auto* record = jobs_.find(listed.run.task.job);
+    const auto step = static_cast<std::size_t>(listed.run.task.step);
     // The resource needs of an ended job are not kept.
-    const auto job = open_jobs_.find(listed.run.task.job);
-    const bool is_known =
-        job != open_jobs_.end() && job->second.task(listed.run.task) != nullptr;
-    if (is_known)
+    if (record != nullptr && record->job &&
+        step < record->job->spec.steps.size())
     {
-        run_record.need = job->second.spec_of(listed.run.task.step).need;
+        run_record.need = record->job->spec.steps[step].need;
     }
     run_record.lifecycle.phase = run_phase::running;
-    if (!damaged_jobs_.contains(listed.run.task.job))
+    const bool goes_on = quarantined_jobs_.contains(listed.run.task.job) &&
+                         record != nullptr && !record->cancel_requested;
+    if (!goes_on)
     {
         run_record.lifecycle.on_stop_requested();
     }
@@ -446,6 +448,8 @@
     for (const auto& run : unresolved)
     {
         stop_gang(run, "the start was not confirmed");
+        // Its task may have ended in another run, and its job with it.
+        request_stop(id, run, "the start was not confirmed");
     }
 }
 
--- a/src/domain/job_api.cpp
+++ b/src/domain/job_api.cpp
@@ -205,6 +205,13 @@
         call->done({result_code::conflict, "the row exists"}, reply.found);
         return;
     }
+    if (is_permanent_refusal(reply.error))
+    {
+        call->done({result_code::bad_request,
+                    "the store refuses the job: " + reply.error.reason},
+                   {});
+        return;
+    }
     const bool refused = code == result_code::store_unavailable ||
                          code == result_code::unreachable;
     call->outcome_unknown = call->outcome_unknown || !refused;
@@ -269,6 +276,15 @@
     auto pending = std::make_shared<write_call>();
     pending->row = {job_row_key(id, job_row_kind::accepted),
                     json_text(to_json(job))};
+    if (pending->row.value.size() > max_row_bytes)
+    {
+        respond({{result_code::bad_request,
+                  "the job takes " + std::to_string(pending->row.value.size()) +
+                      " bytes in its row; the limit is " +
+                      std::to_string(max_row_bytes)},
+                 step_job_state::queued});
+        return;
+    }
     pending->deadline = deadline;
     pending->done = [this, call, id, respond = std::move(respond)](
                         failure error, const std::vector<table_row>&)
--- a/src/domain/job_progress.cpp
+++ b/src/domain/job_progress.cpp
@@ -161,6 +161,22 @@
     return json;
 }
 
+Json::Value repetition_to_json(const repetition_progress& repetition)
+{
+    Json::Value steps(Json::arrayValue);
+    for (const auto& step : repetition.steps)
+    {
+        steps.append(step_to_json(step));
+    }
+    return steps;
+}
+
+bool is_repetition(const Json::Value& number)
+{
+    return number.isInt() && number.asInt() >= 0 &&
+           number.asInt() < max_repetitions;
+}
+
 } // namespace
 
 bool step_progress::done() const
@@ -189,6 +205,7 @@
 repetition_progress& job_progress::open_repetition(int repetition)
 {
     auto& opened = repetitions_[repetition];
+    unopened_.erase(repetition);
     if (opened.steps.empty())
     {
         opened.steps.resize(job_.spec.steps.size());
@@ -202,30 +219,46 @@
     return opened;
 }
 
-std::optional<std::int64_t>
-job_progress::open_due_repetitions(std::int64_t now_unix_ms)
+std::size_t job_progress::tasks_per_repetition() const
+{
+    std::size_t tasks = 0;
+    for (const auto& step : job_.spec.steps)
+    {
+        tasks += static_cast<std::size_t>(step.tasks);
+    }
+    return tasks;
+}
+
+std::optional<std::int64_t> job_progress::next_due() const
 {
     const auto& spec = job_.spec;
+    if (!unopened_.empty())
+    {
+        return spec.first_due_unix_ms;
+    }
     // Not periodic: the steps run once, at once.
     if (spec.repetitions == 0)
     {
-        if (opened_count_ == 0)
-        {
-            open_repetition(0);
-        }
-        return std::nullopt;
+        return opened_count_ == 0 ? std::optional<std::int64_t>(0)
+                                  : std::nullopt;
     }
-    while (opened_count_ < spec.repetitions)
+    return opened_count_ < spec.repetitions
+               ? std::optional(spec.first_due_unix_ms +
+                               opened_count_ * spec.interval.count())
+               : std::nullopt;
+}
+
+std::optional<std::int64_t>
+job_progress::open_due_repetitions(std::int64_t now_unix_ms,
+                                   std::size_t max_open)
+{
+    auto due = next_due();
+    while (due && *due <= now_unix_ms && repetitions_.size() < max_open)
     {
-        const auto due =
-            spec.first_due_unix_ms + opened_count_ * spec.interval.count();
-        if (due > now_unix_ms)
-        {
-            return due;
-        }
-        open_repetition(opened_count_);
+        open_repetition(unopened_.empty() ? opened_count_ : *unopened_.begin());
+        due = next_due();
     }
-    return std::nullopt;
+    return due;
 }
 
 bool job_progress::dependencies_done(const repetition_progress& repetition,
@@ -304,6 +337,7 @@
     task->server = server;
     task->attempt = run.attempt;
     task->use = use;
+    mark_changed(run.task.repetition);
     step_of(run.task).empty_servers_until = {};
     started_ = true;
 }
@@ -324,31 +358,29 @@
                              role == loss_role::at_start);
     const bool alone = sole_cause && kept_apart;
     may_have_losses_ = true;
+    mark_changed(run.task.repetition);
     task->crashes.add({*task->server, role, alone});
     failed_ = failed_ || task->crashes.is_conclusive();
     return true;
 }
 
-void job_progress::for_each_task(
-    const std::function<void(task_progress& task)>& visit)
+bool job_progress::withdraw_losses(const server_incarnation& server)
 {
+    bool withdrawn = false;
     for (auto& [number, repetition] : repetitions_)
     {
         for (auto& step : repetition.steps)
         {
             for (auto& task : step.tasks)
             {
-                visit(task);
+                if (task.crashes.withdraw(server))
+                {
+                    withdrawn = true;
+                    mark_changed(number);
+                }
             }
         }
     }
-}
-
-bool job_progress::withdraw_losses(const server_incarnation& server)
-{
-    bool withdrawn = false;
-    for_each_task([&server, &withdrawn](task_progress& task)
-                  { withdrawn = task.crashes.withdraw(server) || withdrawn; });
     return withdrawn;
 }
 
@@ -360,6 +392,7 @@
         return false;
     }
     task->crashes.clear();
+    mark_changed(name.repetition);
     return true;
 }
 
@@ -392,6 +425,7 @@
     }
     save_checkpoint(run, checkpoint);
     task->server.reset();
+    mark_changed(run.task.repetition);
     return true;
 }
 
@@ -414,6 +448,7 @@
         return effect;
     }
     effect.applied = true;
+    mark_changed(run.task.repetition);
     if (is_current_run)
     {
         task->server.reset();
@@ -478,14 +513,40 @@
         task.done = true;
         task.server.reset();
     }
-    count_repetition_if_done(run.task.repetition);
+    close_repetition_if_done(run.task.repetition);
 }
 
-void job_progress::count_repetition_if_done(int repetition)
+void job_progress::close_repetition_if_done(int repetition)
 {
     if (repetitions_.at(repetition).done())
     {
         ++completed_count_;
+        repetitions_.erase(repetition);
+        changed_.erase(repetition);
+        contained_.erase(repetition);
+    }
+}
+
+void job_progress::on_document_taken(int repetition)
+{
+    changed_.erase(repetition);
+    contained_.erase(repetition);
+}
+
+void job_progress::on_document_not_stored(int repetition)
+{
+    mark_changed(repetition);
+    if (was_contained_ && repetitions_.contains(repetition))
+    {
+        contained_.insert(repetition);
+    }
+}
+
+void job_progress::mark_changed(int repetition)
+{
+    if (repetitions_.contains(repetition))
+    {
+        changed_.insert(repetition);
     }
 }
 
@@ -497,6 +558,7 @@
     {
         return;
     }
+    mark_changed(run.task.repetition);
     if (!spec_of(run.task.step).gang)
     {
         task->checkpoint = checkpoint;
@@ -540,20 +602,35 @@
     std::vector<std::pair<run_id, server_incarnation>> result;
     for (const auto& [number, repetition] : repetitions_)
     {
-        for (std::size_t step = 0; step < repetition.steps.size(); ++step)
+        const auto part = placed_runs(number);
+        result.insert(result.end(), part.begin(), part.end());
+    }
+    return result;
+}
+
+std::vector<std::pair<run_id, server_incarnation>>
+job_progress::placed_runs(int repetition) const
+{
+    std::vector<std::pair<run_id, server_incarnation>> result;
+    const auto found = repetitions_.find(repetition);
+    if (found == repetitions_.end())
+    {
+        return result;
+    }
+    const auto& steps = found->second.steps;
+    for (std::size_t step = 0; step < steps.size(); ++step)
+    {
+        const auto& tasks = steps[step].tasks;
+        for (std::size_t i = 0; i < tasks.size(); ++i)
         {
-            const auto& tasks = repetition.steps[step].tasks;
-            for (std::size_t i = 0; i < tasks.size(); ++i)
+            if (tasks[i].server)
             {
-                if (tasks[i].server)
-                {
-                    result.push_back({{{job_.id,
-                                        number,
-                                        static_cast<int>(step),
-                                        static_cast<int>(i)},
-                                       tasks[i].attempt},
-                                      *tasks[i].server});
-                }
+                result.push_back({{{job_.id,
+                                    repetition,
+                                    static_cast<int>(step),
+                                    static_cast<int>(i)},
+                                   tasks[i].attempt},
+                                  *tasks[i].server});
             }
         }
     }
@@ -610,16 +687,20 @@
     Json::Value json(Json::objectValue);
     for (const auto& [number, repetition] : repetitions_)
     {
-        if (repetition.done())
+        if (has_repetition_documents() && !contained_.contains(number))
         {
-            continue;
+            json["running"].append(number);
         }
-        auto& steps = json["open"][std::to_string(number)];
-        for (const auto& step : repetition.steps)
+        else
         {
-            steps.append(step_to_json(step));
+            json["open"][std::to_string(number)] =
+                repetition_to_json(repetition);
         }
     }
+    for (const int number : unopened_)
+    {
+        json["running"].append(number);
+    }
     json["opened"] = opened_count_;
     json["completed"] = completed_count_;
     json["started"] = started_;
@@ -628,6 +709,11 @@
     return json_text(json);
 }
 
+std::string job_progress::repetition_text(int repetition) const
+{
+    return json_text(repetition_to_json(repetitions_.at(repetition)));
+}
+
 bool job_progress::read(const std::string& text, failure& why)
 {
     const auto json = parse_json(text, why);
@@ -642,33 +728,74 @@
         .read("started", started_)
         .read("failed", failed_)
         .read("cancelled", cancelled_);
-    if (!reader.good())
+    if (!reader.good() || !read_open_repetitions(*json, why))
     {
         return false;
     }
-    const auto& repetitions = (*json)["open"];
-    for (const auto& key : repetitions.isObject() ? repetitions.getMemberNames()
-                                                  : Json::Value::Members{})
+    opened_count_ = std::max(opened_count_, opened);
+    return true;
+}
+
+// An earlier form of the row of a recurring job also has its repetitions in
+// "open".
+bool job_progress::read_open_repetitions(const Json::Value& json, failure& why)
+{
+    const auto& contained = json["open"];
+    for (const auto& key : contained.isObject() ? contained.getMemberNames()
+                                                : Json::Value::Members{})
     {
-        if (!read_repetition(key, repetitions[key]))
+        int number = 0;
+        const auto* end = key.data() + key.size();
+        const auto parsed = std::from_chars(key.data(), end, number);
+        if (parsed.ec != std::errc{} || parsed.ptr != end ||
+            !read_repetition(number, contained[key]))
         {
             why = {result_code::bad_request,
                    "repetition " + key + " cannot be decoded"};
             return false;
         }
+        mark_changed(number);
+        if (has_repetition_documents())
+        {
+            was_contained_ = true;
+            contained_.insert(number);
+        }
+    }
+    for (const auto& number : json["running"])
+    {
+        if (!is_repetition(number))
+        {
+            why = {result_code::bad_request,
+                   "the open repetitions cannot be decoded"};
+            return false;
+        }
+        unopened_.insert(number.asInt());
     }
-    opened_count_ = std::max(opened_count_, opened);
     return true;
 }
 
-bool job_progress::read_repetition(const std::string& key,
-                                   const Json::Value& json)
+bool job_progress::read_repetition_text(int repetition,
+                                        const std::string& text,
+                                        failure& why)
+{
+    if (!unopened_.contains(repetition))
+    {
+        return true;
+    }
+    const auto json = parse_json(text, why);
+    if (json && read_repetition(repetition, *json))
+    {
+        return true;
+    }
+    why = {result_code::bad_request,
+           "repetition " + std::to_string(repetition) + " cannot be decoded"};
+    return false;
+}
+
+bool job_progress::read_repetition(int number, const Json::Value& json)
 {
-    int number = 0;
-    const auto* end = key.data() + key.size();
-    const auto parsed = std::from_chars(key.data(), end, number);
-    if (parsed.ec != std::errc{} || parsed.ptr != end || number < 0 ||
-        !json.isArray() || json.size() != job_.spec.steps.size())
+    if (number < 0 || number >= max_repetitions || !json.isArray() ||
+        json.size() != job_.spec.steps.size())
     {
         return false;
     }
--- a/src/domain/job_progress.hpp
+++ b/src/domain/job_progress.hpp
@@ -1,5 +1,6 @@
-// Progress of the tasks of one job, kept by the leader and stored in one row.
-// Plain data and state transitions.
+// Progress of the tasks of one job, kept by the leader and stored in one
+// document, or in one for each open repetition and one for the job. Plain data
+// and state transitions.
 #ifndef POPLARRAMP_DOMAIN_JOB_PROGRESS_HPP
 #define POPLARRAMP_DOMAIN_JOB_PROGRESS_HPP
 
@@ -10,8 +11,9 @@
 
 #include <json/value.h>
 
+#include <cstddef>
 #include <cstdint>
-#include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -83,10 +85,25 @@
     }
     const step_spec& spec_of(int step) const;
 
-    // Opens the repetitions that are due at `now_unix_ms`. Returns when the
-    // next one is due, in Unix milliseconds; nothing if none is left or the job
-    // is not periodic.
-    std::optional<std::int64_t> open_due_repetitions(std::int64_t now_unix_ms);
+    // Opens the repetitions that are due at `now_unix_ms`, as long as fewer
+    // than `max_open` are open. Returns when the next one is due, in Unix
+    // milliseconds; nothing if none is left.
+    std::optional<std::int64_t> open_due_repetitions(
+        std::int64_t now_unix_ms,
+        std::size_t max_open = std::numeric_limits<std::size_t>::max());
+
+    // When the next repetition is due that is not open; nothing if none is
+    // left.
+    std::optional<std::int64_t> next_due() const;
+
+    std::size_t tasks_per_repetition() const;
+
+    // False for a repetition that has ended or was not begun.
+    bool is_open(int repetition) const
+    {
+        return repetitions_.contains(repetition) ||
+               unopened_.contains(repetition);
+    }
 
     // Tasks that can be placed: neither done nor placed, and the steps that
     // this step depends on are done. All tasks of a gang or none, because a
@@ -146,6 +163,9 @@
 
     // Runs that may exist, with their servers.
     std::vector<std::pair<run_id, server_incarnation>> placed_runs() const;
+    // The same for one repetition.
+    std::vector<std::pair<run_id, server_incarnation>>
+    placed_runs(int repetition) const;
 
     // Placed runs of the same gang attempt. The run alone if its task is not in
     // a gang or is unknown.
@@ -168,27 +188,63 @@
         return repetitions_;
     }
 
+    // True if each open repetition has a document of its own.
+    bool has_repetition_documents() const
+    {
+        return job_.spec.repetitions > 0;
+    }
+
+    // The document of the job. Names the open repetitions of a recurring job
+    // and contains the one of any other job.
     std::string to_text() const;
-    // Restores what `to_text` wrote. Returns false and fills `why` if the text
-    // cannot be decoded; what was read before the error is kept. Call it on a
-    // new object: absent fields keep their values.
+    // The document of a repetition. Precondition: it is open.
+    std::string repetition_text(int repetition) const;
+
+    // Restores what `to_text` wrote, now or in the form that contained all open
+    // repetitions. Returns false and fills `why` if the text cannot be decoded;
+    // what was read before the error is kept. Call it on a new object: absent
+    // fields keep their values.
     bool read(const std::string& text, failure& why);
+    // Restores what `repetition_text` wrote; call it after `read`. The document
+    // of a repetition that has ended is ignored.
+    bool
+    read_repetition_text(int repetition, const std::string& text, failure& why);
+
+    // Open repetitions that have changed since their documents were taken.
+    const std::set<int>& changed_repetitions() const
+    {
+        return changed_;
+    }
+    // To be called when the document of a repetition was taken to be stored in
+    // one transaction with the document of the job, which is taken afterwards;
+    // and if that transaction was not confirmed.
+    void on_document_taken(int repetition);
+    void on_document_not_stored(int repetition);
 
 private:
+    void mark_changed(int repetition);
     task_progress* mutable_task(const task_name& name);
     step_progress& step_of(const task_name& name);
     bool dependencies_done(const repetition_progress& repetition,
                            int step) const;
     end_effect count_failure(const run_id& run, task_progress& task);
     void complete(const run_id& run);
-    void count_repetition_if_done(int repetition);
+    void close_repetition_if_done(int repetition);
     repetition_progress& open_repetition(int repetition);
-    bool read_repetition(const std::string& key, const Json::Value& json);
+    bool read_repetition(int number, const Json::Value& json);
+    bool read_open_repetitions(const Json::Value& json, failure& why);
     bool read_step(step_progress& step, const Json::Value& json);
-    void for_each_task(const std::function<void(task_progress& task)>& visit);
 
     step_job job_;
+    // State of the tasks of open repetitions; dropped when they end.
     std::map<int, repetition_progress> repetitions_;
+    std::set<int> changed_;
+    // Begun by an earlier leader without a stored task; opened first.
+    std::set<int> unopened_;
+    // Repetitions of a recurring job that the document of the job contains, as
+    // in an earlier form, until their own documents are stored.
+    std::set<int> contained_;
+    bool was_contained_ = false;
     // Number of repetitions opened, and of those that are done.
     int opened_count_ = 0;
     int completed_count_ = 0;
--- a/src/domain/leadership.cpp
+++ b/src/domain/leadership.cpp
@@ -48,6 +48,10 @@
 constexpr milliseconds min_leader_age{2000};
 constexpr milliseconds max_challenge_round_trip{150};
 
+// Bounds the leader row, which is written several times a second. Beyond it the
+// job that was quarantined first is forgotten.
+constexpr std::size_t max_quarantined_jobs = 64;
+
 constexpr backoff_settings retry_delays{milliseconds(50), milliseconds(500)};
 
 struct leader_row
@@ -59,6 +63,7 @@
     bool resigned = false;
     // Share of a core that the leader has.
     double processor_share = 0;
+    std::vector<std::string> quarantined;
 };
 
 std::string to_text(const leader_row& row)
@@ -69,6 +74,10 @@
     json["epoch"] = static_cast<Json::UInt64>(row.epoch);
     json["resigned"] = row.resigned;
     json["processor_share"] = row.processor_share;
+    for (const auto& job : row.quarantined)
+    {
+        json["quarantined"].append(job);
+    }
     return json_text(json);
 }
 
@@ -86,7 +95,8 @@
         .read("incarnation", row.incarnation)
         .read("epoch", row.epoch)
         .read("resigned", row.resigned)
-        .read("processor_share", row.processor_share);
+        .read("processor_share", row.processor_share)
+        .read("quarantined", row.quarantined);
     return why ? std::nullopt : std::optional(row);
 }
 
@@ -104,11 +114,14 @@
     void on_row(const table_read_reply& reply, time_point sent);
     bool may_start_election(const table_row& row, const leader_row& seen);
     bool may_challenge(const leader_row& seen);
-    void start_election(const table_row& row, std::uint64_t last_epoch);
+    void start_election(const table_row& row,
+                        const leader_row& seen,
+                        std::uint64_t last_epoch);
     void on_election(const table_transact_reply& reply,
                      std::uint64_t new_epoch,
                      boot_time sent);
-    void commit(leader_batch batch, std::function<void(bool written)> done);
+    void commit(leader_batch batch,
+                std::function<void(commit_outcome outcome)> done);
     void on_commit(const table_transact_reply& reply, boot_time sent);
     bool adopt_version(const table_transact_reply& reply);
     void step_down(const std::string& reason);
@@ -120,6 +133,8 @@
     backoff retry;
     time_point next_call{};
     bool in_flight = false;
+    // The write in flight is more than a renewal.
+    bool batch_in_flight = false;
     bool leading = false;
     bool resigned = false;
     std::uint64_t epoch = 0;
@@ -138,7 +153,8 @@
     milliseconds round_trip{0};
     std::optional<boot_time> confirmed;
     time_point renew_at{};
-    std::function<void(bool)> commit_done;
+    std::function<void(commit_outcome)> commit_done;
+    std::vector<std::string> quarantined;
 };
 
 table_put leadership::state::own_row(std::uint64_t new_epoch,
@@ -150,7 +166,8 @@
                  settings.incarnation,
                  new_epoch,
                  resigns,
-                 settings.processor_share}),
+                 settings.processor_share,
+                 quarantined}),
     };
 }
 
@@ -203,7 +220,7 @@
     {
         // After an undecodable row the epoch must not fall. The row version is
         // at least as high, since it rises with each write.
-        start_election(row, seen ? current.epoch : row.version);
+        start_election(row, current, seen ? current.epoch : row.version);
     }
 }
 
@@ -255,9 +272,11 @@
 }
 
 void leadership::state::start_election(const table_row& row,
+                                       const leader_row& seen,
                                        std::uint64_t last_epoch)
 {
     in_flight = true;
+    quarantined = seen.quarantined;
     const auto new_epoch = last_epoch + 1;
     const auto sent = hooks.boot_now();
     table_transaction change;
@@ -311,9 +330,10 @@
 }
 
 void leadership::state::commit(leader_batch batch,
-                               std::function<void(bool written)> done)
+                               std::function<void(commit_outcome outcome)> done)
 {
     in_flight = true;
+    batch_in_flight = !batch.puts.empty() || !batch.removals.empty();
     commit_done = std::move(done);
     const auto sent = hooks.boot_now();
     table_transaction change;
@@ -338,7 +358,7 @@
     if (resigned)
     {
         version = reply.error ? version : reply.version;
-        done(false);
+        done(commit_outcome::unconfirmed);
         write_resignation();
         return;
     }
@@ -349,23 +369,27 @@
         renew_at = hooks.now() + settings.renew_interval;
         retry.reset();
         next_call = hooks.now();
-        done(true);
+        done(commit_outcome::written);
         return;
     }
     if (reply.error.code == result_code::conflict && !adopt_version(reply))
     {
-        done(false);
+        done(commit_outcome::unconfirmed);
         step_down("another VM has replaced the leader row");
         return;
     }
     log_line(log_level::warning,
              "leader",
-             "A write of the leader was not confirmed; it is repeated.",
+             "A write of the leader was not confirmed.",
              {{"epoch", std::to_string(epoch)},
               {"code", std::string(name_of(reply.error.code))},
               {"reason", reply.error.reason}});
-    next_call = hooks.now() + retry.next(hooks.random());
-    done(false);
+    const bool refused = is_permanent_refusal(reply.error);
+    // The next batch is another one: the caller splits a refused one.
+    next_call = refused && batch_in_flight
+                    ? hooks.now()
+                    : hooks.now() + retry.next(hooks.random());
+    done(refused ? commit_outcome::refused : commit_outcome::unconfirmed);
 }
 
 // After a conflict, takes over the version if the row is still this leader's
@@ -439,7 +463,7 @@
     }
     else if (now >= self.renew_at)
     {
-        self.commit({}, [](bool) {});
+        self.commit({}, [](commit_outcome) {});
     }
 }
 
@@ -450,11 +474,35 @@
 }
 
 void leadership::commit(leader_batch batch,
-                        std::function<void(bool written)> done)
+                        std::function<void(commit_outcome outcome)> done)
 {
     state_->commit(std::move(batch), std::move(done));
 }
 
+const std::vector<std::string>& leadership::quarantined_jobs() const
+{
+    return state_->quarantined;
+}
+
+void leadership::add_quarantined_job(const std::string& job)
+{
+    auto& jobs = state_->quarantined;
+    if (std::find(jobs.begin(), jobs.end(), job) != jobs.end())
+    {
+        return;
+    }
+    if (jobs.size() >= max_quarantined_jobs)
+    {
+        jobs.erase(jobs.begin());
+    }
+    jobs.push_back(job);
+}
+
+void leadership::remove_quarantined_job(const std::string& job)
+{
+    std::erase(state_->quarantined, job);
+}
+
 bool leadership::leads() const
 {
     return state_->leading;
--- a/src/domain/leadership.hpp
+++ b/src/domain/leadership.hpp
@@ -44,6 +44,16 @@
     std::function<void(std::string reason)> on_leadership_lost;
 };
 
+enum class commit_outcome
+{
+    written,
+    // The batch may or may not have been written, but cannot take effect after
+    // a later batch, so that the current state can be committed again.
+    unconfirmed,
+    // Nothing was written, and the store will never accept this batch.
+    refused,
+};
+
 // Writes that are committed together with a renewal of the leader row.
 struct leader_batch
 {
@@ -64,12 +74,17 @@
     // True if this VM leads, no call is in flight and no retry is pending.
     bool can_commit() const;
 
-    // Writes a batch. Calls `done` with true if the batch is known to be
-    // written, otherwise with false, also if the leadership was lost meanwhile:
-    // the batch may or may not have been written, but cannot take effect after
-    // a later batch, so that the current state can be committed again.
-    // Precondition: `can_commit()`.
-    void commit(leader_batch batch, std::function<void(bool written)> done);
+    // Writes a batch and calls `done` with the outcome; `unconfirmed` also if
+    // the leadership was lost meanwhile. Precondition: `can_commit()`.
+    void commit(leader_batch batch,
+                std::function<void(commit_outcome outcome)> done);
+
+    // Jobs that no leader starts tasks of. The list is part of the leader row:
+    // it is stored with the next write and taken over by the next leader.
+    // Preconditions: this VM leads.
+    const std::vector<std::string>& quarantined_jobs() const;
+    void add_quarantined_job(const std::string& job);
+    void remove_quarantined_job(const std::string& job);
 
     bool leads() const;
     std::uint64_t epoch() const;
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -90,7 +90,6 @@
 
     void add_waiting(job_progress& progress)
     {
-        progress.open_due_repetitions(records_.unix_now);
         for (auto& [number, repetition] : progress.repetitions())
         {
             for (std::size_t i = 0; i < repetition.steps.size(); ++i)
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -61,7 +61,7 @@
     placed_runs runs_of(const std::vector<std::size_t>& groups) const;
 };
 
-// Collects the waiting steps of all jobs. Opens due repetitions, and sets
+// Collects the waiting steps of the open repetitions of all jobs, and sets
 // `ready_since` of the steps that it meets first. `input.steps` is empty if no
 // step waits; nothing else is filled in then.
 planning_view make_planning_view(const planning_records& records);
--- a/src/model/step_job.cpp
+++ b/src/model/step_job.cpp
@@ -13,10 +13,10 @@
 
 constexpr double millis_per_core = 1000;
 
-// Limits of a job, so that its progress fits into one row of the table.
+// Limits of a job, so that the progress of one repetition fits into one
+// transaction of the table.
 constexpr int max_tasks = 1000;
 constexpr int max_steps = 64;
-constexpr int max_repetitions = 10000;
 constexpr std::size_t max_payload_bytes = 16384;
 
 constexpr std::array<std::pair<step_job_state, std::string_view>, 5>
--- a/src/model/step_job.hpp
+++ b/src/model/step_job.hpp
@@ -75,6 +75,9 @@
     int max_unavailable = 0;
 };
 
+// Limit of the repetitions of a job.
+constexpr int max_repetitions = 10000;
+
 // A job as the customer submits it.
 struct step_job_spec
 {
--- a/src/services/table.hpp
+++ b/src/services/table.hpp
@@ -5,6 +5,7 @@
 #include "base/result.hpp"
 #include "base/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -73,6 +74,16 @@
     std::string value;
 };
 
+// The value of a row is at most this long.
+constexpr std::size_t max_row_bytes = 65'536;
+
+// True if a repetition of the refused transaction cannot succeed. Thread safe.
+inline bool is_permanent_refusal(const failure& error)
+{
+    return error.code == result_code::bad_request ||
+           error.code == result_code::body_too_large;
+}
+
 // Writes that are applied atomically if all checks hold.
 struct table_transaction
 {
@@ -83,6 +94,8 @@
 
 // Errors as in `table_write_reply`. After `timeout` or `answer_lost` the
 // transaction may take effect seconds later, if its checks hold then.
+// `bad_request`, `body_too_large`: nothing was written, and the same
+// transaction will always be refused.
 struct table_transact_reply
 {
     failure error;
--- a/tests/domain_simulation.cpp
+++ b/tests/domain_simulation.cpp
@@ -24,6 +24,10 @@
 
 constexpr std::int64_t new_run_age_ms = 1000;
 
+// Limits of a transaction of the store.
+constexpr std::size_t max_call_bytes = 1'000'000;
+constexpr std::size_t max_call_entries = 100;
+
 // A task under which this many servers have crashed may be started so many
 // times more.
 constexpr int crashes_before_limit = 3;
@@ -982,6 +986,26 @@
 table_transact_reply domain_simulation::apply(const table_transaction& change)
 {
     table_transact_reply reply;
+    std::size_t bytes = 0;
+    for (const auto& put : change.puts)
+    {
+        bytes += put.value.size() / 3 * 4;
+        if (put.value.size() > max_row_bytes || put.key == refused_key)
+        {
+            reply.error = {result_code::bad_request, "refused: " + put.key};
+        }
+    }
+    if (bytes > max_call_bytes ||
+        change.checks.size() + change.puts.size() + change.removals.size() >
+            max_call_entries)
+    {
+        reply.error = {result_code::body_too_large, "too large"};
+    }
+    if (reply.error)
+    {
+        ++refused_writes;
+        return reply;
+    }
     for (const auto& check : change.checks)
     {
         const auto found = stored_rows.find(check.key);
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -180,6 +180,9 @@
     // fail.
     std::uint64_t compacted_version = 0;
     bool store_down = false;
+    // The store refuses each write of this row permanently; empty: none.
+    std::string refused_key;
+    int refused_writes = 0;
 
     std::map<std::string, fake_server> servers;
     // Run time of the tasks of a job, instead of that of the server.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -162,6 +162,11 @@
     CHECK(code == result_code::store_unavailable);
     transact(429, "{}");
     CHECK(code == result_code::store_unavailable);
+    // These are refused again, however often they are repeated.
+    transact(400, "{}");
+    CHECK(code == result_code::bad_request);
+    transact(413, "{}");
+    CHECK(code == result_code::body_too_large);
     transact(500, "{}");
     CHECK(code == result_code::answer_lost);
     transact(200, "cut off");
