Wait after a killed leadership; count begun jobs by confirmed starts; adapt pages

Former leaders.

Now the first confirmed or listed start counts; it is stored with the next commit, 0.5 s later at most.

Cause: a page of 500 rows that does not arrive within 2 s was requested again without end. Now a timeout makes the next page smaller (500, 125, 32, 8, 2, 1) and its timeout longer (up to 8 s); pages grow again with what arrives. The same class elsewhere: the scan of progress rows by a new leader, and the watch, whose changes get up to 6 s in each second call after three failures.

Checkpoints over 512 bytes are not kept: a repetition of 1,000 tasks would outgrow a transaction.

--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr int scan_page_rows = 500;
-constexpr milliseconds scan_timeout{2000};
 constexpr milliseconds load_retry_delay{200};
 
 // Batches the changes of server rows, which change with each heartbeat.
@@ -145,24 +143,26 @@
         return;
     }
     progress_in_flight_ = true;
-    hooks_.store.scan(progress_prefix,
-                      progress_cursor_,
-                      scan_page_rows,
-                      hooks_.now() + scan_timeout,
-                      [weak = weak_from_this()](table_scan_reply reply)
-                      {
-                          if (const auto self = weak.lock())
-                          {
-                              self->on_progress_page(std::move(reply));
-                          }
-                      });
+    hooks_.store.scan(
+        progress_prefix,
+        progress_cursor_,
+        progress_pace_.rows(),
+        hooks_.now() + progress_pace_.timeout(),
+        [weak = weak_from_this(), sent = hooks_.now()](table_scan_reply reply)
+        {
+            if (const auto self = weak.lock())
+            {
+                self->on_progress_page(std::move(reply), sent);
+            }
+        });
 }
 
-void dispatcher::on_progress_page(table_scan_reply reply)
+void dispatcher::on_progress_page(table_scan_reply reply, time_point sent)
 {
     progress_in_flight_ = false;
     if (reply.error)
     {
+        progress_pace_.on_error(reply.error);
         log_line(log_level::warning,
                  "sched",
                  "The progress rows of the jobs cannot be scanned.",
@@ -186,6 +186,7 @@
                      {{"key", row.key}});
         }
     }
+    progress_pace_.on_page(hooks_.now() - sent);
     progress_cursor_ = reply.next;
     progress_loaded_ = progress_cursor_.empty();
 }
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "domain/progress_rows.hpp"
 #include "domain/row_watcher.hpp"
 #include "domain/run_log.hpp"
+#include "domain/scan_pace.hpp"
 #include "domain/server_api.hpp"
 #include "domain/server_registry.hpp"
 #include "policy/step_planner.hpp"
@@ -124,7 +125,7 @@
 
     // Start-up of a new leader (dispatcher.cpp).
     void load_progress();
-    void on_progress_page(table_scan_reply reply);
+    void on_progress_page(table_scan_reply reply, time_point sent);
     void restore_jobs();
     void restore_job(const step_job& job);
     // Reads the rows of the job, if it has any.
@@ -172,6 +173,9 @@
     void on_not_committed(const commit_contents& contents,
                           commit_outcome outcome);
     void expire_jobs();
+    // To be called when a server has confirmed the start of a run.
+    void on_start_confirmed(const run_id& run);
+    void store_begun_jobs();
     void quarantine(const std::string& id, std::string_view reason);
     void cancel_quarantined_job(const std::string& id);
 
@@ -275,6 +279,7 @@
     // Rows of progress that a new leader has read, by job.
     std::map<std::string, progress_texts> progress_texts_;
     std::string progress_cursor_;
+    scan_pace progress_pace_;
     bool progress_in_flight_ = false;
     bool progress_loaded_ = false;
     time_point next_load_{};
@@ -291,6 +296,8 @@
     // State of each job in the table.
     std::map<std::string, step_job_state> stored_states_;
     commit_queue dirty_jobs_;
+    // Jobs that have begun, and when that is to be stored at the latest.
+    std::map<std::string, time_point> begun_jobs_;
     // Jobs of which no further repetition is open for want of memory.
     std::set<std::string> jobs_without_memory_;
     step_planner planner_;
--- a/src/domain/dispatcher_commit.cpp
+++ b/src/domain/dispatcher_commit.cpp
@@ -26,6 +26,10 @@
 // The head row and the state row of a job.
 constexpr std::size_t min_entries_per_job = 2;
 
+// That a job has begun waits this long for a commit that is made anyway: short
+// jobs then need no further one. It may be reported 2 s late.
+constexpr milliseconds begun_job_delay{500};
+
 // Rows that a job has at most, besides its progress.
 constexpr std::size_t job_row_kinds = 3;
 
@@ -272,8 +276,35 @@
     }
 }
 
+void dispatcher::on_start_confirmed(const run_id& run)
+{
+    const auto found = open_jobs_.find(run.task.job);
+    if (found != open_jobs_.end() && found->second.confirm_start())
+    {
+        begun_jobs_.emplace(run.task.job, hooks_.now() + begun_job_delay);
+    }
+}
+
+void dispatcher::store_begun_jobs()
+{
+    const auto now = hooks_.now();
+    const bool due =
+        std::any_of(begun_jobs_.begin(),
+                    begun_jobs_.end(),
+                    [now](const auto& item) { return item.second <= now; });
+    if (due || !dirty_jobs_.empty())
+    {
+        for (const auto& [id, until] : begun_jobs_)
+        {
+            dirty_jobs_.push(id);
+        }
+        begun_jobs_.clear();
+    }
+}
+
 void dispatcher::commit()
 {
+    store_begun_jobs();
     const bool has_unstored_ends = std::any_of(
         registry_.all().begin(),
         registry_.all().end(),
--- a/src/domain/dispatcher_orders.cpp
+++ b/src/domain/dispatcher_orders.cpp
@@ -152,6 +152,10 @@
     run_record->start_in_flight = false;
     run_record->confirmed =
         run_record->confirmed || reply.outcome == order_outcome::done;
+    if (run_record->confirmed)
+    {
+        on_start_confirmed(run);
+    }
     const auto now = hooks_.now();
     const auto next = run_record->lifecycle.on_start_reply(reply.outcome, now);
     log_unconfirmed("Starts were not confirmed.", id, run, reply);
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -262,6 +262,7 @@
         }
         run.lifecycle.on_listed(now);
         run.confirmed = true;
+        on_start_confirmed(listed.run);
         run.percent = listed.percent;
         run.listed_at = now;
         if (!listed.checkpoint.empty() && listed.checkpoint != run.checkpoint)
--- a/src/domain/job_directory.hpp
+++ b/src/domain/job_directory.hpp
@@ -77,7 +77,8 @@
         return jobs_;
     }
 
-    // Number of accepted jobs in the queue without a started task.
+    // Number of accepted jobs in the queue of which no server has confirmed the
+    // start of a task; the leader stores that within 0.5 s.
     std::size_t pending(const std::string& queue) const;
 
 private:
--- a/src/domain/job_progress.cpp
+++ b/src/domain/job_progress.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+// A longer checkpoint is not kept: with 1,000 tasks, a repetition would outgrow
+// a transaction of 1 MB. The usual ones have 16 characters.
+constexpr std::size_t max_checkpoint_bytes = 512;
+
 // Elements of the JSON array that stores a task, in order. An empty server with
 // incarnation 0 means that the task is not placed.
 enum class task_element : Json::ArrayIndex
@@ -339,7 +343,11 @@
     task->use = use;
     mark_changed(run.task.repetition);
     step_of(run.task).empty_servers_until = {};
-    started_ = true;
+}
+
+bool job_progress::confirm_start()
+{
+    return !std::exchange(started_, true);
 }
 
 bool job_progress::record_loss(const run_id& run,
@@ -448,6 +456,7 @@
         return effect;
     }
     effect.applied = true;
+    started_ = started_ || outcome != run_outcome::gang_incomplete;
     mark_changed(run.task.repetition);
     if (is_current_run)
     {
@@ -554,7 +563,8 @@
                                    const std::string& checkpoint)
 {
     auto* task = mutable_task(run.task);
-    if (task == nullptr || checkpoint.empty())
+    if (task == nullptr || checkpoint.empty() ||
+        checkpoint.size() > max_checkpoint_bytes)
     {
         return;
     }
--- a/src/domain/job_progress.hpp
+++ b/src/domain/job_progress.hpp
@@ -129,6 +129,10 @@
                const server_incarnation& server,
                server_use use = server_use::shared);
 
+    // A server has confirmed the start of a run of this job. Returns false if
+    // the job counted as begun before.
+    bool confirm_start();
+
     // Removes the placement of a run that does not exist and left no end
     // record. Counts no failure. Returns false and does nothing if it is not
     // the current run of its task.
--- a/src/domain/leadership.cpp
+++ b/src/domain/leadership.cpp
@@ -35,6 +35,11 @@
 constexpr double whole_core_election_delay_ms = 10;
 constexpr milliseconds max_processor_election_delay{700};
 
+// A VM whose earlier incarnation led stands after all others: their longest
+// delays and a poll.
+constexpr milliseconds former_leader_delay =
+    max_election_delay + max_processor_election_delay + poll_interval;
+
 // A renewal and a poll take one round trip each; one more allows for a round
 // trip that is slower than the last.
 constexpr int takeover_round_trips = 3;
@@ -238,11 +243,14 @@
     {
         return waited >= election_delay;
     }
+    // A process that ended while it led, such as for its use of memory, would
+    // take over and end again; the other VMs stand first.
     const bool own_earlier_incarnation =
         seen.vm == settings.vm && seen.incarnation != settings.incarnation;
-    return own_earlier_incarnation ||
-           waited >= settings.takeover_timeout +
-                         takeover_round_trips * round_trip + election_delay;
+    return waited >= settings.takeover_timeout +
+                         takeover_round_trips * round_trip + election_delay +
+                         (own_earlier_incarnation ? former_leader_delay
+                                                  : milliseconds(0));
 }
 
 bool leadership::state::may_challenge(const leader_row& seen)
--- a/src/domain/row_watcher.cpp
+++ b/src/domain/row_watcher.cpp
@@ -1,6 +1,7 @@
 #include "domain/row_watcher.hpp"
 
 #include "base/log.hpp"
+#include "domain/scan_pace.hpp"
 
 #include <utility>
 
@@ -10,18 +11,18 @@
 namespace
 {
 
-constexpr int scan_page_rows = 500;
-
-// One page normally takes some milliseconds, and 100 times as long when the
-// store is slow.
-constexpr milliseconds scan_timeout{2000};
-
 // Added to the wait for a change, for a slow store.
 constexpr milliseconds extra_watch_timeout{500};
 // For some time after a failure: the store may be slow.
 constexpr milliseconds extra_slow_watch_timeout{1000};
 constexpr milliseconds slow_time{10000};
 
+// After this many failures in a row, each second call may take longer: over a
+// slow link the changes of some seconds, up to 1 MB, do not arrive in less. The
+// calls between them notice sooner that the store is back.
+constexpr int failures_before_long_watch = 3;
+constexpr milliseconds extra_long_watch_timeout{6000};
+
 constexpr backoff_settings retry_delays{milliseconds(100), milliseconds(800)};
 
 } // namespace
@@ -45,6 +46,8 @@
     const row_watcher_settings settings;
     const row_watcher_hooks hooks;
     backoff retry;
+    scan_pace pace;
+    int failed_watches = 0;
     milliseconds wait = settings.wait;
     milliseconds batch_delay = settings.batch_delay;
     time_point slow_until{};
@@ -68,19 +71,30 @@
 {
     in_flight = true;
     const auto sent = hooks.boot_now();
-    hooks.store.scan(settings.prefix,
-                     scan_after,
-                     scan_page_rows,
-                     hooks.now() + scan_timeout,
-                     [self = shared_from_this(), sent, number = generation](
-                         table_scan_reply reply)
-                     {
-                         if (number == self->generation)
-                         {
-                             self->in_flight = false;
-                             self->on_page(std::move(reply), sent);
-                         }
-                     });
+    const auto now = hooks.now();
+    hooks.store.scan(
+        settings.prefix,
+        scan_after,
+        pace.rows(),
+        now + pace.timeout(),
+        [self = shared_from_this(), sent, now, number = generation](
+            table_scan_reply reply)
+        {
+            if (number != self->generation)
+            {
+                return;
+            }
+            self->in_flight = false;
+            if (reply.error)
+            {
+                self->pace.on_error(reply.error);
+            }
+            else
+            {
+                self->pace.on_page(self->hooks.now() - now);
+            }
+            self->on_page(std::move(reply), sent);
+        });
 }
 
 void row_watcher::state::on_page(table_scan_reply reply, boot_time sent)
@@ -118,8 +132,11 @@
 {
     in_flight = true;
     const auto sent = hooks.boot_now();
-    const auto extra = hooks.now() < slow_until ? extra_slow_watch_timeout
-                                                : extra_watch_timeout;
+    const bool long_watch =
+        failed_watches >= failures_before_long_watch && failed_watches % 2 != 0;
+    const auto extra = long_watch                 ? extra_long_watch_timeout
+                       : hooks.now() < slow_until ? extra_slow_watch_timeout
+                                                  : extra_watch_timeout;
     hooks.store.watch(settings.prefix,
                       version,
                       wait,
@@ -151,9 +168,11 @@
     }
     if (reply.error)
     {
+        ++failed_watches;
         on_error(reply.error);
         return;
     }
+    failed_watches = 0;
     const auto number = generation;
     for (const auto& change : reply.changes)
     {
--- a/tests/domain_units_test.cpp
+++ b/tests/domain_units_test.cpp
@@ -4,12 +4,14 @@
 #include "domain/lease_clock.hpp"
 #include "domain/row_watcher.hpp"
 #include "domain/run_lifecycle.hpp"
+#include "domain/scan_pace.hpp"
 #include "domain/server_registry.hpp"
 #include "model/codec.hpp"
 #include "model/step_job_codec.hpp"
 #include "policy/fit_cache.hpp"
 #include "policy/step_placement.hpp"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -633,3 +635,60 @@
     CHECK(deadlines.at(2) - time_point(milliseconds(now)) <=
           milliseconds(1000));
 }
+
+// Guards against a VM behind a slow link that requests the same page in an
+// endless loop, since it never arrives within the timeout.
+TEST(row_watcher, pages_adapt_to_a_slow_link)
+{
+    // 2 Mbit/s, and rows of 16 KB.
+    constexpr int rows_per_s = 15;
+    constexpr int all_rows = 1000;
+    std::vector<int> sizes;
+    int next_row = 0;
+    hooks.store.scan = [this, &sizes, &next_row](
+                           const std::string&,
+                           const std::string&,
+                           int limit,
+                           time_point deadline,
+                           const std::function<void(table_scan_reply)>& done)
+    {
+        sizes.push_back(limit);
+        const auto arrival = now + limit * 1000 / rows_per_s;
+        const auto end = deadline.time_since_epoch().count();
+        now = std::min<std::int64_t>(arrival, end);
+        table_scan_reply reply;
+        if (arrival > end)
+        {
+            reply.error = {result_code::timeout, "late"};
+        }
+        else
+        {
+            next_row += limit;
+            reply.next = next_row < all_rows ? "row" : "";
+        }
+        done(reply);
+    };
+    row_watcher watcher({"jobs/"}, hooks);
+    const auto start = now;
+    while (!watcher.loaded() && now - start < 300'000)
+    {
+        watcher.tick();
+        now += 5;
+    }
+    CHECK(watcher.loaded());
+    CHECK_EQUAL(500, sizes.at(0));
+    CHECK_EQUAL(125, sizes.at(1));
+    CHECK_EQUAL(32, sizes.at(2));
+    // The link needs 67 s for these rows.
+    CHECK(now - start < 100'000);
+    // On a fast link the pages are large again.
+    scan_pace pace;
+    pace.on_error({result_code::timeout, ""});
+    CHECK(pace.timeout() > milliseconds(2000));
+    pace.on_page(milliseconds(20));
+    pace.on_page(milliseconds(20));
+    CHECK_EQUAL(500, pace.rows());
+    CHECK(pace.timeout() == milliseconds(2000));
+    pace.on_error({result_code::store_unavailable, ""});
+    CHECK_EQUAL(500, pace.rows());
+}
