Quarantine a job under which leaders end again and again

Change: the leader row tells whether its leader lasted for 5 s. After three that ended early the next one begins the waiting jobs in groups, which it names in its row before; the next leader halves the group under which its predecessor ended. A job under which two leaders ended while it was alone is quarantined: reported by log lines with its id and by jobs_quarantined.

Test: domain_limits, job_that_ends_leaders_is_quarantined.

--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -207,6 +207,7 @@
     }
     quarantined_jobs_.insert(leader_.quarantined_jobs().begin(),
                              leader_.quarantined_jobs().end());
+    start_trial();
     for (const auto& [id, record] : jobs_.all())
     {
         if (!record.job)
@@ -445,6 +446,10 @@
               {"priority", std::to_string(job.policy.priority)},
               {"config", std::to_string(deployment_.version())}});
     open_jobs_.try_emplace(job.id, job);
+    if (trial_)
+    {
+        trial_->add(job);
+    }
     request_plan();
 }
 
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "domain/deployment_view.hpp"
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
+#include "domain/job_trial.hpp"
 #include "domain/leadership.hpp"
 #include "domain/planning_view.hpp"
 #include "domain/progress_rows.hpp"
@@ -99,6 +100,9 @@
         return registry_;
     }
 
+    // Number of tasks whose state is held.
+    std::size_t open_tasks() const;
+
 private:
     // What a commit stores; takes effect here once the commit is confirmed.
     struct commit_contents
@@ -259,6 +263,9 @@
     // Planning (dispatcher_plan.cpp).
     void plan();
     void open_due_repetitions();
+    // Before the jobs are restored: one at fault is not.
+    void start_trial();
+    void advance_trial();
     void place(const planning_view& view, const planned_placement& decision);
     void preempt(const planning_view& view,
                  const planned_preemption& decision,
@@ -300,6 +307,8 @@
     std::map<std::string, time_point> begun_jobs_;
     // Jobs of which no further repetition is open for want of memory.
     std::set<std::string> jobs_without_memory_;
+    // Only after leaders that ended early.
+    std::optional<job_trial> trial_;
     step_planner planner_;
     run_log run_log_;
     bool plan_due_ = true;
--- a/src/domain/dispatcher_commit.cpp
+++ b/src/domain/dispatcher_commit.cpp
@@ -463,16 +463,18 @@
 // placed any more.
 void dispatcher::quarantine(const std::string& id, std::string_view reason)
 {
-    const auto found = open_jobs_.find(id);
-    if (found == open_jobs_.end())
-    {
-        return;
-    }
     log_line(log_level::error,
              "sched",
              "A job is quarantined; none of its tasks is started or stopped.",
              {{"job", id}, {"reason", std::string(reason)}});
     hooks_.count("jobs_quarantined", 1);
+    quarantined_jobs_.insert(id);
+    leader_.add_quarantined_job(id);
+    const auto found = open_jobs_.find(id);
+    if (found == open_jobs_.end())
+    {
+        return;
+    }
     for (const auto& [run, placed_on] : found->second.placed_runs())
     {
         const auto* record = find_run(placed_on.id, run);
@@ -482,8 +484,6 @@
             registry_.at(placed_on.id).runs.erase(run);
         }
     }
-    quarantined_jobs_.insert(id);
-    leader_.add_quarantined_job(id);
     open_jobs_.erase(found);
     planner_.forget_job(id);
     request_plan();
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -47,10 +47,72 @@
     }
 }
 
+std::size_t dispatcher::open_tasks() const
+{
+    std::size_t tasks = 0;
+    for (const auto& [id, job] : open_jobs_)
+    {
+        tasks += job.repetitions().size() * job.tasks_per_repetition();
+    }
+    return tasks;
+}
+
+void dispatcher::start_trial()
+{
+    if (leader_.short_terms() < short_terms_before_trial)
+    {
+        return;
+    }
+    trial_.emplace(leader_.predecessor_trial());
+    for (const auto& [id, record] : jobs_.all())
+    {
+        if (record.job && !is_final(record.reported_state()) &&
+            !quarantined_jobs_.contains(id))
+        {
+            trial_->add(*record.job);
+        }
+    }
+    advance_trial();
+}
+
+void dispatcher::advance_trial()
+{
+    if (!trial_)
+    {
+        return;
+    }
+    const auto before = trial_->note();
+    trial_->advance(hooks_.now(), leader_.trial_stored());
+    const auto guilty = trial_->guilty();
+    if (guilty && !quarantined_jobs_.contains(*guilty))
+    {
+        quarantine(*guilty, "leaders end again and again when they begin it");
+    }
+    if (trial_->note() != before)
+    {
+        leader_.set_trial(trial_->note());
+        log_line(log_level::warning,
+                 "sched",
+                 "Leaders have ended early; waiting jobs are begun in groups.",
+                 {{"after", trial_->note().after},
+                  {"to", trial_->note().to},
+                  {"ends", std::to_string(trial_->note().ends)}});
+    }
+    if (trial_->done())
+    {
+        trial_.reset();
+    }
+}
+
 void dispatcher::open_due_repetitions()
 {
-    auto waiting = open_due_work(
-        open_jobs_, hooks_.unix_now(), max_open_tasks(settings_.memory_mb));
+    advance_trial();
+    auto waiting =
+        open_due_work(open_jobs_,
+                      hooks_.unix_now(),
+                      max_open_tasks(settings_.memory_mb),
+                      [this](const job_progress& job)
+                      { return !trial_ || trial_->may_begin(job.job()); });
     for (const auto& id : waiting)
     {
         if (!jobs_without_memory_.contains(id))
--- a/src/domain/leadership.cpp
+++ b/src/domain/leadership.cpp
@@ -53,6 +53,10 @@
 constexpr milliseconds min_leader_age{2000};
 constexpr milliseconds max_challenge_round_trip{150};
 
+// A leader that ends before this, without resigning, ended early: those that
+// end for the use of memory do so within 1 s.
+constexpr milliseconds min_term{5000};
+
 // Bounds the leader row, which is written several times a second. Beyond it the
 // job that was quarantined first is forgotten.
 constexpr std::size_t max_quarantined_jobs = 64;
@@ -69,6 +73,11 @@
     // Share of a core that the leader has.
     double processor_share = 0;
     std::vector<std::string> quarantined;
+    int short_terms = 0;
+    // False until the leader has led for `min_term`. True in rows of earlier
+    // builds, which do not have it.
+    bool lasted = true;
+    trial_note trial;
 };
 
 std::string to_text(const leader_row& row)
@@ -79,6 +88,14 @@
     json["epoch"] = static_cast<Json::UInt64>(row.epoch);
     json["resigned"] = row.resigned;
     json["processor_share"] = row.processor_share;
+    json["short_terms"] = row.short_terms;
+    json["lasted"] = row.lasted;
+    if (!row.trial.to.empty())
+    {
+        json["trial_after"] = row.trial.after;
+        json["trial_to"] = row.trial.to;
+        json["trial_ends"] = row.trial.ends;
+    }
     for (const auto& job : row.quarantined)
     {
         json["quarantined"].append(job);
@@ -101,7 +118,12 @@
         .read("epoch", row.epoch)
         .read("resigned", row.resigned)
         .read("processor_share", row.processor_share)
-        .read("quarantined", row.quarantined);
+        .read("quarantined", row.quarantined)
+        .read("short_terms", row.short_terms)
+        .read("lasted", row.lasted)
+        .read("trial_after", row.trial.after)
+        .read("trial_to", row.trial.to)
+        .read("trial_ends", row.trial.ends);
     return why ? std::nullopt : std::optional(row);
 }
 
@@ -138,6 +160,14 @@
     backoff retry;
     time_point next_call{};
     bool in_flight = false;
+    // The leader that this VM replaces is at work.
+    bool challenging = false;
+    int short_terms = 0;
+    time_point lasts_from{};
+    trial_note predecessor_trial;
+    trial_note trial;
+    std::optional<trial_note> sent_trial;
+    std::optional<trial_note> stored_trial;
     // The write in flight is more than a renewal.
     bool batch_in_flight = false;
     bool leading = false;
@@ -172,7 +202,10 @@
                  new_epoch,
                  resigns,
                  settings.processor_share,
-                 quarantined}),
+                 quarantined,
+                 short_terms,
+                 hooks.now() >= lasts_from,
+                 trial}),
     };
 }
 
@@ -221,7 +254,9 @@
                  {{"version", std::to_string(row.version)}});
     }
     const auto current = seen.value_or(leader_row{});
-    if (may_start_election(row, current) || may_challenge(current))
+    const bool standing = may_start_election(row, current);
+    challenging = !standing && may_challenge(current);
+    if (standing || challenging)
     {
         // After an undecodable row the epoch must not fall. The row version is
         // at least as high, since it rises with each write.
@@ -285,6 +320,14 @@
 {
     in_flight = true;
     quarantined = seen.quarantined;
+    // A trial may take longer than `min_term`.
+    const bool ended_early = row.version != 0 && !seen.resigned &&
+                             !challenging &&
+                             (!seen.lasted || !seen.trial.to.empty());
+    short_terms = ended_early ? seen.short_terms + 1 : 0;
+    predecessor_trial = ended_early ? seen.trial : trial_note{};
+    trial = {};
+    lasts_from = hooks.now() + min_term;
     const auto new_epoch = last_epoch + 1;
     const auto sent = hooks.boot_now();
     table_transaction change;
@@ -325,6 +368,7 @@
     predecessor_confirmed = version_first_seen;
     version = reply.version;
     confirmed = sent;
+    stored_trial.reset();
     renew_at = hooks.now() + settings.renew_interval;
     // Allows the first commit at once, without the poll interval.
     next_call = hooks.now();
@@ -343,6 +387,7 @@
     in_flight = true;
     batch_in_flight = !batch.puts.empty() || !batch.removals.empty();
     commit_done = std::move(done);
+    sent_trial = trial;
     const auto sent = hooks.boot_now();
     table_transaction change;
     change.checks.push_back({leader_key, version});
@@ -373,6 +418,7 @@
     if (!reply.error)
     {
         version = reply.version;
+        stored_trial = sent_trial;
         confirmed = sent;
         renew_at = hooks.now() + settings.renew_interval;
         retry.reset();
@@ -511,6 +557,27 @@
     std::erase(state_->quarantined, job);
 }
 
+int leadership::short_terms() const
+{
+    return state_->short_terms;
+}
+
+const trial_note& leadership::predecessor_trial() const
+{
+    return state_->predecessor_trial;
+}
+
+void leadership::set_trial(const trial_note& note)
+{
+    state_->trial = note;
+    state_->renew_at = state_->hooks.now();
+}
+
+bool leadership::trial_stored() const
+{
+    return state_->stored_trial == state_->trial;
+}
+
 bool leadership::leads() const
 {
     return state_->leading;
--- a/src/domain/open_work.cpp
+++ b/src/domain/open_work.cpp
@@ -53,9 +53,11 @@
     return std::max(min_open_tasks, bytes / memory_share / bytes_per_task);
 }
 
-std::set<std::string> open_due_work(std::map<std::string, job_progress>& jobs,
-                                    std::int64_t unix_now,
-                                    std::size_t max_tasks)
+std::set<std::string>
+open_due_work(std::map<std::string, job_progress>& jobs,
+              std::int64_t unix_now,
+              std::size_t max_tasks,
+              const std::function<bool(const job_progress& job)>& may_begin)
 {
     std::size_t open = 0;
     std::vector<job_progress*> due;
@@ -63,7 +65,8 @@
     {
         open += open_tasks(job);
         const auto next = job.next_due();
-        if (next && *next <= unix_now && !is_final(job.state()))
+        if (next && *next <= unix_now && !is_final(job.state()) &&
+            may_begin(job))
         {
             due.push_back(&job);
         }
--- a/tests/domain_limits_test.cpp
+++ b/tests/domain_limits_test.cpp
@@ -232,6 +232,64 @@
     CHECK(sim.run_until(milliseconds(5000), [last] { return last->leads(); }));
 }
 
+// Guards against a job under which leaders end without end: it is found and
+// quarantined, and all other jobs run.
+TEST(domain_limits, job_that_ends_leaders_is_quarantined)
+{
+    set_up(milliseconds(500));
+    constexpr int poison_tasks = 900;
+    sim.submit(0, "poison", "q2", repeated(poison_tasks, 0, milliseconds(0)));
+    const auto submit_other = [this](int number)
+    {
+        auto& vm = sim.vms[0]->up && sim.vms[0]->api->ready() ? sim.vms[0]
+                                                              : sim.vms[1];
+        if (vm->up && vm->api->ready())
+        {
+            sim.submit(vm == sim.vms[0] ? 0 : 1,
+                       "other-" + std::to_string(number),
+                       "q1",
+                       one_step(2, 1));
+        }
+    };
+    int ended = 0;
+    std::int64_t last_end = sim.now;
+    for (int i = 0; i < 12000; ++i)
+    {
+        sim.run(milliseconds(5));
+        if (i < 2000 && i % 200 == 0)
+        {
+            submit_other(i);
+        }
+        auto* leader = sim.leader();
+        if (leader != nullptr && leader->scheduler &&
+            leader->scheduler->open_tasks() >= poison_tasks)
+        {
+            ++ended;
+            last_end = sim.now;
+            leader->kill();
+            sim.at(sim.now + 300, [leader] { leader->start(); });
+        }
+    }
+    CHECK(ended >= 4);
+    CHECK(ended <= 8);
+    // The last 30 s were quiet.
+    CHECK(sim.now - last_end > 30'000);
+    CHECK(!sim.started_jobs.contains("poison"));
+    int others = 0;
+    for (const auto& [key, row] : sim.stored_rows)
+    {
+        const auto name = parse_job_row_key(key);
+        if (name && name->kind == job_row_kind::accepted &&
+            name->job != "poison")
+        {
+            ++others;
+            CHECK(sim.state(name->job) == step_job_state::completed);
+        }
+    }
+    CHECK(others >= 5);
+    check_no_violations();
+}
+
 TEST_GROUP(open_work){};
 
 // Guards against more task state than the memory limit allows, against one job
@@ -240,6 +298,10 @@
 {
     CHECK_EQUAL(65536U, max_open_tasks(128));
     std::map<std::string, job_progress> jobs;
+    const auto all = [](const job_progress&)
+    {
+        return true;
+    };
     const auto add = [&jobs](step_job job)
     {
         job.accepted_unix_ms = static_cast<std::int64_t>(jobs.size());
@@ -250,19 +312,19 @@
         return static_cast<int>(jobs.at(id).repetitions().size());
     };
     add(job_of("z", 100, 1000));
-    CHECK_EQUAL(1U, open_due_work(jobs, 0, 4000).size());
+    CHECK_EQUAL(1U, open_due_work(jobs, 0, 4000, all).size());
     CHECK_EQUAL(10, open("z"));
     for (int i = 0; i < 40; ++i)
     {
         add(job_of("b" + std::to_string(10 + i), 100, 0));
     }
-    const auto waiting = open_due_work(jobs, 0, 4000);
+    const auto waiting = open_due_work(jobs, 0, 4000, all);
     // 3,000 tasks are for jobs that are not urgent, in the order of arrival.
     CHECK_EQUAL(1, open("b29"));
     CHECK_EQUAL(0, open("b30"));
     CHECK_EQUAL(21U, waiting.size());
     add(job_of("urgent", 1000, 0, 0));
-    open_due_work(jobs, 0, 4000);
+    open_due_work(jobs, 0, 4000, all);
     CHECK_EQUAL(1, open("urgent"));
 }
 
