--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "domain/dispatcher.hpp"
 
 #include "base/log.hpp"
+#include "domain/ended_runs.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -220,8 +221,12 @@
         }
         if (record.state && is_final(record.state->state))
         {
-            // Runs that still exist are found when their servers list them.
             ended_jobs_.insert(id);
+            const auto texts = progress_texts_.find(id);
+            if (texts != progress_texts_.end())
+            {
+                restore_ended_job(id, record, texts->second);
+            }
         }
         else
         {
@@ -312,6 +317,40 @@
     return true;
 }
 
+// Runs of an ended job that the last leader has not seen end count under the
+// limit of their customer until their servers have listed their runs.
+void dispatcher::restore_ended_job(const std::string& id,
+                                   const job_record& job,
+                                   const progress_texts& texts)
+{
+    std::vector<std::pair<run_id, server_incarnation>> runs;
+    for (const int document : texts.documents())
+    {
+        auto text = *texts.text(document);
+        if (document != head_document)
+        {
+            text = R"({"open":{")" + std::to_string(document) + R"(":)" + text +
+                   "}}";
+        }
+        const auto found = runs_in_row(id, text);
+        runs.insert(runs.end(), found.begin(), found.end());
+    }
+    for (const auto& [run, placed_on] : runs)
+    {
+        auto& server = registry_.at(placed_on.id);
+        if (server.registration.incarnation == 0)
+        {
+            server.registration.incarnation = placed_on.incarnation;
+        }
+        server_run run_record;
+        run_record.need = job.largest_need;
+        run_record.lifecycle.phase = run_phase::unconfirmed;
+        run_record.started_at = hooks_.now();
+        server.runs[run] = run_record;
+        request_stop(placed_on.id, run, "job ended");
+    }
+}
+
 void dispatcher::on_server_rows(const std::vector<table_row>& rows)
 {
     for (auto& [id, server] : registry_.all())
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -6,6 +6,7 @@
 
 #include "domain/commit_queue.hpp"
 #include "domain/deployment_view.hpp"
+#include "domain/gang_ends.hpp"
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/job_trial.hpp"
@@ -25,6 +26,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -42,6 +44,12 @@
     // Factor on the run time of a task far from its data, or of a gang that
     // spans several racks.
     double remote_slowdown = 3;
+    // Learn the speed of the servers, and use it where speeds differ by more
+    // than the queues bear.
+    bool learn_speeds = false;
+    // Share of its limit by which a customer may exceed it, for a gang that is
+    // wider than the limit.
+    double limit_overage = 0;
     // How long the rows of a finished job are kept.
     milliseconds retention{300000};
     // Memory that a process may have.
@@ -103,6 +111,11 @@
     // Number of tasks whose state is held.
     std::size_t open_tasks() const;
 
+    const server_speed& speeds() const
+    {
+        return speeds_;
+    }
+
 private:
     // What a commit stores; takes effect here once the commit is confirmed.
     struct commit_contents
@@ -134,6 +147,9 @@
     void restore_job(const step_job& job);
     // Reads the rows of the job, if it has any.
     bool read_progress(job_progress& progress, failure& why) const;
+    void restore_ended_job(const std::string& id,
+                           const job_record& job,
+                           const progress_texts& texts);
     void find_restarted_servers();
     void on_server_row(const table_row_change& change);
     void on_server_rows(const std::vector<table_row>& rows);
@@ -196,10 +212,13 @@
                        const renewal_reply& reply);
     void on_listed(const std::string& id,
                    server_record& server,
-                   const listed_run& listed);
+                   const listed_run& listed,
+                   std::optional<server_clock> listed_on);
     void on_ended(const std::string& id,
                   server_record& server,
                   const listed_end& end);
+    void
+    record_gang_end(const listed_end& end, bool stopping, std::size_t members);
     placed_runs newer_runs(const job_progress& job, const run_id& ended) const;
     void on_failed_run(const std::string& id, server_record& server);
     void resolve_unlisted(const std::string& id,
@@ -208,10 +227,15 @@
                           const renewal_reply& reply);
     std::optional<server_clock> lease_for(const server_record& server) const;
     server_target target_of(const server_record& server) const;
+    void drop_ended_members(const std::string& id, server_record& server);
     void expire_lost_server(const std::string& id, server_record& server);
     void on_lost_runs(const std::string& id,
                       const std::map<run_id, server_run>& runs,
                       bool crashed);
+    void record_losses(const std::string& id,
+                       const std::map<run_id, server_run>& runs,
+                       const std::map<run_id, server_run>& lost,
+                       bool crashed);
     void record_loss(const std::string& id,
                      const run_id& run,
                      loss_role role,
@@ -229,6 +253,24 @@
     std::string server_of(const run_id& run) const;
     server_run* find_run(const std::string& server, const run_id& run);
 
+    // Speed of the servers (dispatcher_speeds.cpp).
+    std::uint64_t comparison_of(const server_record& server,
+                                const run_id& run) const;
+    void observe_progress(server_record& server,
+                          const run_id& run,
+                          server_run& record,
+                          int percent,
+                          server_clock clock);
+    void observe_ends(server_record& server,
+                      time_point requested_at,
+                      const renewal_reply& reply);
+    void observe(server_record& server,
+                 const run_id& run,
+                 server_run& record,
+                 const pace_sample& sample);
+    void classify_servers();
+    void log_class(const server_record& server, int before) const;
+
     // Start and stop orders (dispatcher_orders.cpp).
     bool may_start_on(const server_record& server) const;
     server_run* run_of_reply(const std::string& id,
@@ -270,6 +312,7 @@
     void preempt(const planning_view& view,
                  const planned_preemption& decision,
                  const placed_runs& victims);
+    void report_blocked(std::span<const blocked_step> blocked);
 
     const dispatcher_settings settings_;
     const dispatcher_hooks hooks_;
@@ -309,7 +352,12 @@
     std::set<std::string> jobs_without_memory_;
     // Only after leaders that ended early.
     std::optional<job_trial> trial_;
+    gang_ends gang_ends_;
     step_planner planner_;
+    server_speed speeds_;
+    time_point next_classification_{};
+    // Steps that cannot be placed, with the time of the next report.
+    std::map<std::pair<step_id, block_reason>, time_point> blocked_steps_;
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
--- a/src/domain/dispatcher_commit.cpp
+++ b/src/domain/dispatcher_commit.cpp
@@ -87,13 +87,16 @@
     const auto oldest = hooks_.unix_now() - settings_.retention.count();
     leader_batch batch;
     commit_contents contents;
+    const auto is_expired = [this, oldest](const job_record* record)
+    {
+        return record == nullptr ||
+               (record->state && is_final(record->state->state) &&
+                record->state->since_unix_ms < oldest);
+    };
     // Left by a leader that ended before it had removed them.
     for (const auto& [id, rows] : stored_rows_)
     {
-        const auto* record = jobs_.find(id);
-        const bool ended = record == nullptr ||
-                           (record->state && is_final(record->state->state));
-        if (ended && !open_jobs_.contains(id) &&
+        if (is_expired(jobs_.find(id)) && !open_jobs_.contains(id) &&
             !remove_rows(id, batch, contents))
         {
             break;
@@ -102,8 +105,7 @@
     std::size_t expired = 0;
     for (const auto& [id, record] : jobs_.all())
     {
-        if (record.state && is_final(record.state->state) &&
-            record.state->since_unix_ms < oldest && !open_jobs_.contains(id) &&
+        if (is_expired(&record) && !open_jobs_.contains(id) &&
             !stored_rows_.contains(id) && has_room(batch, job_row_kinds))
         {
             ++expired;
@@ -424,6 +426,7 @@
             ended_jobs_.insert(id);
             open_jobs_.erase(found);
             planner_.forget_job(id);
+            gang_ends_.forget_job(id);
         }
     }
     request_plan();
@@ -486,6 +489,7 @@
     }
     open_jobs_.erase(found);
     planner_.forget_job(id);
+    gang_ends_.forget_job(id);
     request_plan();
 }
 
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -39,10 +39,12 @@
 void dispatcher::poll_servers()
 {
     const auto now = hooks_.now();
+    classify_servers();
     std::vector<std::string> obsolete;
     for (auto& [id, server] : registry_.all())
     {
         expire_lost_server(id, server);
+        drop_ended_members(id, server);
         if (!server.renewal_in_flight && now >= server.next_renewal &&
             !server.registration.address.empty())
         {
@@ -218,13 +220,14 @@
     {
         on_server_returned(id, server);
     }
+    observe_ends(server, requested_at, reply);
     for (const auto& end : reply.ended)
     {
         on_ended(id, server, end);
     }
     for (const auto& listed : reply.active)
     {
-        on_listed(id, server, listed);
+        on_listed(id, server, listed, reply.order.clock);
     }
     resolve_unlisted(id, server, requested_at, reply);
     if (!server.adopted)
@@ -248,7 +251,8 @@
 
 void dispatcher::on_listed(const std::string& id,
                            server_record& server,
-                           const listed_run& listed)
+                           const listed_run& listed,
+                           std::optional<server_clock> listed_on)
 {
     const auto now = hooks_.now();
     const auto found = server.runs.find(listed.run);
@@ -265,6 +269,11 @@
         on_start_confirmed(listed.run);
         run.percent = listed.percent;
         run.listed_at = now;
+        if (listed_on)
+        {
+            observe_progress(
+                server, listed.run, run, listed.percent, *listed_on);
+        }
         if (!listed.checkpoint.empty() && listed.checkpoint != run.checkpoint)
         {
             run.checkpoint = listed.checkpoint;
@@ -313,6 +322,9 @@
         return;
     }
     server.last_applied_end = end.number;
+    const auto ended = server.runs.find(end.run);
+    const bool stopping = ended != server.runs.end() &&
+                          ended->second.lifecycle.phase == run_phase::stopping;
     server.runs.erase(end.run);
     const auto found = open_jobs_.find(end.run.task.job);
     const auto members = found == open_jobs_.end()
@@ -357,6 +369,7 @@
             request_stop(server_id, run, "an older run has succeeded");
         }
     }
+    record_gang_end(end, stopping, members.size());
     if (effect.job_failed)
     {
         stop_runs_of(found->second);
@@ -371,6 +384,21 @@
     }
 }
 
+// `members` is the number of members that had not ended, with this one.
+void dispatcher::record_gang_end(const listed_end& end,
+                                 bool stopping,
+                                 std::size_t members)
+{
+    if (members > 1)
+    {
+        gang_ends_.record(end.run, end.outcome, stopping, hooks_.now());
+    }
+    else
+    {
+        gang_ends_.forget(end.run);
+    }
+}
+
 // Current runs of the task or gang, if `ended` is an earlier attempt.
 placed_runs dispatcher::newer_runs(const job_progress& job,
                                    const run_id& ended) const
