--- a/src/domain/leadership.cpp
+++ b/src/domain/leadership.cpp
@@ -35,6 +35,11 @@
 constexpr double whole_core_election_delay_ms = 10;
 constexpr milliseconds max_processor_election_delay{700};
 
+// A VM whose earlier incarnation led stands after all others: their longest
+// delays and a poll.
+constexpr milliseconds former_leader_delay =
+    max_election_delay + max_processor_election_delay + poll_interval;
+
 // A renewal and a poll take one round trip each; one more allows for a round
 // trip that is slower than the last.
 constexpr int takeover_round_trips = 3;
@@ -48,6 +53,14 @@
 constexpr milliseconds min_leader_age{2000};
 constexpr milliseconds max_challenge_round_trip{150};
 
+// A leader that ends before this, without resigning, ended early: those that
+// end for the use of memory do so within 1 s.
+constexpr milliseconds min_term{5000};
+
+// Bounds the leader row, which is written several times a second. Beyond it the
+// job that was quarantined first is forgotten.
+constexpr std::size_t max_quarantined_jobs = 64;
+
 constexpr backoff_settings retry_delays{milliseconds(50), milliseconds(500)};
 
 struct leader_row
@@ -59,6 +72,12 @@
     bool resigned = false;
     // Share of a core that the leader has.
     double processor_share = 0;
+    std::vector<std::string> quarantined;
+    int short_terms = 0;
+    // False until the leader has led for `min_term`. True in rows of earlier
+    // builds, which do not have it.
+    bool lasted = true;
+    trial_note trial;
 };
 
 std::string to_text(const leader_row& row)
@@ -69,6 +88,18 @@
     json["epoch"] = static_cast<Json::UInt64>(row.epoch);
     json["resigned"] = row.resigned;
     json["processor_share"] = row.processor_share;
+    json["short_terms"] = row.short_terms;
+    json["lasted"] = row.lasted;
+    if (!row.trial.to.empty())
+    {
+        json["trial_after"] = row.trial.after;
+        json["trial_to"] = row.trial.to;
+        json["trial_ends"] = row.trial.ends;
+    }
+    for (const auto& job : row.quarantined)
+    {
+        json["quarantined"].append(job);
+    }
     return json_text(json);
 }
 
@@ -86,7 +117,13 @@
         .read("incarnation", row.incarnation)
         .read("epoch", row.epoch)
         .read("resigned", row.resigned)
-        .read("processor_share", row.processor_share);
+        .read("processor_share", row.processor_share)
+        .read("quarantined", row.quarantined)
+        .read("short_terms", row.short_terms)
+        .read("lasted", row.lasted)
+        .read("trial_after", row.trial.after)
+        .read("trial_to", row.trial.to)
+        .read("trial_ends", row.trial.ends);
     return why ? std::nullopt : std::optional(row);
 }
 
@@ -104,11 +141,14 @@
     void on_row(const table_read_reply& reply, time_point sent);
     bool may_start_election(const table_row& row, const leader_row& seen);
     bool may_challenge(const leader_row& seen);
-    void start_election(const table_row& row, std::uint64_t last_epoch);
+    void start_election(const table_row& row,
+                        const leader_row& seen,
+                        std::uint64_t last_epoch);
     void on_election(const table_transact_reply& reply,
                      std::uint64_t new_epoch,
                      boot_time sent);
-    void commit(leader_batch batch, std::function<void(bool written)> done);
+    void commit(leader_batch batch,
+                std::function<void(commit_outcome outcome)> done);
     void on_commit(const table_transact_reply& reply, boot_time sent);
     bool adopt_version(const table_transact_reply& reply);
     void step_down(const std::string& reason);
@@ -120,6 +160,16 @@
     backoff retry;
     time_point next_call{};
     bool in_flight = false;
+    // The leader that this VM replaces is at work.
+    bool challenging = false;
+    int short_terms = 0;
+    time_point lasts_from{};
+    trial_note predecessor_trial;
+    trial_note trial;
+    std::optional<trial_note> sent_trial;
+    std::optional<trial_note> stored_trial;
+    // The write in flight is more than a renewal.
+    bool batch_in_flight = false;
     bool leading = false;
     bool resigned = false;
     std::uint64_t epoch = 0;
@@ -138,7 +188,8 @@
     milliseconds round_trip{0};
     std::optional<boot_time> confirmed;
     time_point renew_at{};
-    std::function<void(bool)> commit_done;
+    std::function<void(commit_outcome)> commit_done;
+    std::vector<std::string> quarantined;
 };
 
 table_put leadership::state::own_row(std::uint64_t new_epoch,
@@ -150,7 +201,11 @@
                  settings.incarnation,
                  new_epoch,
                  resigns,
-                 settings.processor_share}),
+                 settings.processor_share,
+                 quarantined,
+                 short_terms,
+                 hooks.now() >= lasts_from,
+                 trial}),
     };
 }
 
@@ -199,11 +254,13 @@
                  {{"version", std::to_string(row.version)}});
     }
     const auto current = seen.value_or(leader_row{});
-    if (may_start_election(row, current) || may_challenge(current))
+    const bool standing = may_start_election(row, current);
+    challenging = !standing && may_challenge(current);
+    if (standing || challenging)
     {
         // After an undecodable row the epoch must not fall. The row version is
         // at least as high, since it rises with each write.
-        start_election(row, seen ? current.epoch : row.version);
+        start_election(row, current, seen ? current.epoch : row.version);
     }
 }
 
@@ -221,11 +278,14 @@
     {
         return waited >= election_delay;
     }
+    // A process that ended while it led, such as for its use of memory, would
+    // take over and end again; the other VMs stand first.
     const bool own_earlier_incarnation =
         seen.vm == settings.vm && seen.incarnation != settings.incarnation;
-    return own_earlier_incarnation ||
-           waited >= settings.takeover_timeout +
-                         takeover_round_trips * round_trip + election_delay;
+    return waited >= settings.takeover_timeout +
+                         takeover_round_trips * round_trip + election_delay +
+                         (own_earlier_incarnation ? former_leader_delay
+                                                  : milliseconds(0));
 }
 
 bool leadership::state::may_challenge(const leader_row& seen)
@@ -255,9 +315,19 @@
 }
 
 void leadership::state::start_election(const table_row& row,
+                                       const leader_row& seen,
                                        std::uint64_t last_epoch)
 {
     in_flight = true;
+    quarantined = seen.quarantined;
+    // A trial may take longer than `min_term`.
+    const bool ended_early = row.version != 0 && !seen.resigned &&
+                             !challenging &&
+                             (!seen.lasted || !seen.trial.to.empty());
+    short_terms = ended_early ? seen.short_terms + 1 : 0;
+    predecessor_trial = ended_early ? seen.trial : trial_note{};
+    trial = {};
+    lasts_from = hooks.now() + min_term;
     const auto new_epoch = last_epoch + 1;
     const auto sent = hooks.boot_now();
     table_transaction change;
@@ -298,6 +368,7 @@
     predecessor_confirmed = version_first_seen;
     version = reply.version;
     confirmed = sent;
+    stored_trial.reset();
     renew_at = hooks.now() + settings.renew_interval;
     // Allows the first commit at once, without the poll interval.
     next_call = hooks.now();
@@ -311,10 +382,12 @@
 }
 
 void leadership::state::commit(leader_batch batch,
-                               std::function<void(bool written)> done)
+                               std::function<void(commit_outcome outcome)> done)
 {
     in_flight = true;
+    batch_in_flight = !batch.puts.empty() || !batch.removals.empty();
     commit_done = std::move(done);
+    sent_trial = trial;
     const auto sent = hooks.boot_now();
     table_transaction change;
     change.checks.push_back({leader_key, version});
@@ -338,34 +411,39 @@
     if (resigned)
     {
         version = reply.error ? version : reply.version;
-        done(false);
+        done(commit_outcome::unconfirmed);
         write_resignation();
         return;
     }
     if (!reply.error)
     {
         version = reply.version;
+        stored_trial = sent_trial;
         confirmed = sent;
         renew_at = hooks.now() + settings.renew_interval;
         retry.reset();
         next_call = hooks.now();
-        done(true);
+        done(commit_outcome::written);
         return;
     }
     if (reply.error.code == result_code::conflict && !adopt_version(reply))
     {
-        done(false);
+        done(commit_outcome::unconfirmed);
         step_down("another VM has replaced the leader row");
         return;
     }
     log_line(log_level::warning,
              "leader",
-             "A write of the leader was not confirmed; it is repeated.",
+             "A write of the leader was not confirmed.",
              {{"epoch", std::to_string(epoch)},
               {"code", std::string(name_of(reply.error.code))},
               {"reason", reply.error.reason}});
-    next_call = hooks.now() + retry.next(hooks.random());
-    done(false);
+    const bool refused = is_permanent_refusal(reply.error);
+    // The next batch is another one: the caller splits a refused one.
+    next_call = refused && batch_in_flight
+                    ? hooks.now()
+                    : hooks.now() + retry.next(hooks.random());
+    done(refused ? commit_outcome::refused : commit_outcome::unconfirmed);
 }
 
 // After a conflict, takes over the version if the row is still this leader's
@@ -439,7 +517,7 @@
     }
     else if (now >= self.renew_at)
     {
-        self.commit({}, [](bool) {});
+        self.commit({}, [](commit_outcome) {});
     }
 }
 
@@ -450,11 +528,56 @@
 }
 
 void leadership::commit(leader_batch batch,
-                        std::function<void(bool written)> done)
+                        std::function<void(commit_outcome outcome)> done)
 {
     state_->commit(std::move(batch), std::move(done));
 }
 
+const std::vector<std::string>& leadership::quarantined_jobs() const
+{
+    return state_->quarantined;
+}
+
+void leadership::add_quarantined_job(const std::string& job)
+{
+    auto& jobs = state_->quarantined;
+    if (std::find(jobs.begin(), jobs.end(), job) != jobs.end())
+    {
+        return;
+    }
+    if (jobs.size() >= max_quarantined_jobs)
+    {
+        jobs.erase(jobs.begin());
+    }
+    jobs.push_back(job);
+}
+
+void leadership::remove_quarantined_job(const std::string& job)
+{
+    std::erase(state_->quarantined, job);
+}
+
+int leadership::short_terms() const
+{
+    return state_->short_terms;
+}
+
+const trial_note& leadership::predecessor_trial() const
+{
+    return state_->predecessor_trial;
+}
+
+void leadership::set_trial(const trial_note& note)
+{
+    state_->trial = note;
+    state_->renew_at = state_->hooks.now();
+}
+
+bool leadership::trial_stored() const
+{
+    return state_->stored_trial == state_->trial;
+}
+
 bool leadership::leads() const
 {
     return state_->leading;
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -80,7 +80,7 @@
                           const job_record* record,
                           const run_id& run);
 
-// Collects the waiting steps of all jobs. Opens due repetitions, and sets
+// Collects the waiting steps of the open repetitions of all jobs, and sets
 // `ready_since` of the steps that it meets first. `input.steps` is empty if no
 // step waits; nothing else is filled in then.
 planning_view make_planning_view(const planning_records& records);
--- a/src/entry/site_vm.cpp
+++ b/src/entry/site_vm.cpp
@@ -447,6 +447,7 @@
     settings.learn_speeds = settings_.learn_speeds;
     settings.weigh_value = settings_.weigh_value;
     settings.limit_overage = settings_.bounds.limit_overage;
+    settings.memory_mb = settings_.limits.memory_mb;
     settings.retention = 2 * settings_.bounds.status_retention;
     // A long poll in flight would delay the start of the scheduler.
     job_rows_.restart();
--- a/tests/domain_soak_test.cpp
+++ b/tests/domain_soak_test.cpp
@@ -19,6 +19,9 @@
 
 constexpr int vm_count = 3;
 constexpr int server_count = 5;
+// Has many repetitions that overlap.
+constexpr int recurring_job = 7;
+
 constexpr int job_count = 12;
 constexpr std::int64_t fault_window_ms = 25000;
 constexpr std::int64_t max_fault_ms = 6000;
@@ -132,6 +135,13 @@
         const bool gang = number % 2 == 0;
         auto spec = one_step(1 + number % 5, 1 << (number % 4), gang);
         spec.steps[0].same_rack = number % 4 == 0;
+        if (number == recurring_job)
+        {
+            spec = one_step(2, 0);
+            spec.steps[0].need = {100, 100, 0};
+            spec.repetitions = 40;
+            spec.interval = milliseconds(50);
+        }
         if (fault_kinds_ == crash_fault_kinds && number % 4 == 1)
         {
             crashing_jobs_.insert(id);
