--- a/src/config/site_settings.hpp
+++ b/src/config/site_settings.hpp
@@ -53,6 +53,8 @@
     int memory_mb = 128;
     // Files and connections that the process may have open.
     int descriptors = 4096;
+    // Connections of callers from one address; 0: no limit.
+    int connections_per_address = 0;
 };
 
 struct site_settings
@@ -71,6 +73,8 @@
     // The leader learns the speed of the backend servers and uses it where
     // speeds differ by more than the queues bear.
     bool learn_speeds = false;
+    // When there is too little capacity, what costs callers least waits.
+    bool weigh_value = false;
     site_limit_settings limits;
     site_bound_settings bounds;
     log_settings log{log_level::info, "stdout"};
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -4,16 +4,21 @@
 #ifndef POPLARRAMP_DOMAIN_DISPATCHER_HPP
 #define POPLARRAMP_DOMAIN_DISPATCHER_HPP
 
+#include "domain/commit_queue.hpp"
 #include "domain/deployment_view.hpp"
 #include "domain/gang_ends.hpp"
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
+#include "domain/job_trial.hpp"
 #include "domain/leadership.hpp"
 #include "domain/planning_view.hpp"
+#include "domain/progress_rows.hpp"
 #include "domain/row_watcher.hpp"
 #include "domain/run_log.hpp"
+#include "domain/scan_pace.hpp"
 #include "domain/server_api.hpp"
 #include "domain/server_registry.hpp"
+#include "policy/customer_rates.hpp"
 #include "policy/step_planner.hpp"
 
 #include <cstdint>
@@ -43,11 +48,28 @@
     // Learn the speed of the servers, and use it where speeds differ by more
     // than the queues bear.
     bool learn_speeds = false;
+    // Weigh what callers lose by waiting when there is too little capacity.
+    bool weigh_value = false;
     // Share of its limit by which a customer may exceed it, for a gang that is
     // wider than the limit.
     double limit_overage = 0;
     // How long the rows of a finished job are kept.
     milliseconds retention{300000};
+    // Memory that a process may have.
+    std::int64_t memory_mb = 128;
+};
+
+// Figures of one customer for the metrics page.
+struct customer_figures
+{
+    resources held;
+    resources limit;
+    // Tasks that could be placed.
+    std::int64_t waiting_tasks = 0;
+    // Share of the fleet that it holds, in the dimension of which it holds
+    // most, and that it is entitled to by its weight.
+    double share = 0;
+    double entitled_share = 0;
 };
 
 struct dispatcher_hooks
@@ -97,11 +119,18 @@
     // To be called when the configuration or an evacuation has changed.
     void on_deployment_changed();
 
+    // What the customers with a limit or a weight hold and wait for, by name.
+    // Looks at all runs.
+    std::map<std::string, customer_figures> figures_by_customer() const;
+
     const server_registry& servers() const
     {
         return registry_;
     }
 
+    // Number of tasks whose state is held.
+    std::size_t open_tasks() const;
+
     const server_speed& speeds() const
     {
         return speeds_;
@@ -111,8 +140,13 @@
     // What a commit stores; takes effect here once the commit is confirmed.
     struct commit_contents
     {
-        // Jobs to commit again if the commit fails.
+        // Jobs to commit again if the commit fails, and their repetitions whose
+        // documents are stored or removed.
         std::vector<std::string> jobs;
+        std::vector<std::pair<std::string, int>> documents;
+        std::vector<std::pair<std::string, int>> removed_documents;
+        // Jobs of which a part is left for a later commit.
+        std::vector<std::string> unfinished;
         // New states of jobs.
         std::map<std::string, step_job_state> states;
         // Runs to start.
@@ -128,13 +162,14 @@
 
     // Start-up of a new leader (dispatcher.cpp).
     void load_progress();
-    void on_progress_page(table_scan_reply reply);
+    void on_progress_page(table_scan_reply reply, time_point sent);
     void restore_jobs();
-    // `progress_row` is null if the job has none.
-    void restore_job(const step_job& job, const std::string* progress_row);
+    void restore_job(const step_job& job);
+    // Reads the rows of the job, if it has any.
+    bool read_progress(job_progress& progress, failure& why) const;
     void restore_ended_job(const std::string& id,
                            const job_record& job,
-                           const std::string& progress_row);
+                           const progress_texts& texts);
     void find_restarted_servers();
     void on_server_row(const table_row_change& change);
     void on_server_rows(const std::vector<table_row>& rows);
@@ -151,15 +186,38 @@
     void mark_dirty(const std::string& job);
     void request_plan();
     void advance();
-    void expire_jobs();
 
-    // Commits (dispatcher.cpp).
+    // Commits (dispatcher_commit.cpp).
     void commit();
     void add_to_batch(const std::string& id,
                       leader_batch& batch,
                       commit_contents& contents);
+    // Adds the documents of a recurring job.
+    void add_repetitions(const std::string& id,
+                         job_progress& job,
+                         leader_batch& batch,
+                         commit_contents& contents);
+    // Adds removals of the rows of a job while there is room. Returns false if
+    // rows are left.
+    bool remove_rows(const std::string& id,
+                     leader_batch& batch,
+                     commit_contents& contents);
+    void add_state(const std::string& id,
+                   step_job_state state,
+                   leader_batch& batch,
+                   commit_contents& contents);
+    void
+    add_placed(const std::vector<std::pair<run_id, server_incarnation>>& placed,
+               commit_contents& contents);
     void on_committed(const commit_contents& contents);
-    void on_not_committed(const commit_contents& contents);
+    void on_not_committed(const commit_contents& contents,
+                          commit_outcome outcome);
+    void expire_jobs();
+    // To be called when a server has confirmed the start of a run.
+    void on_start_confirmed(const run_id& run);
+    void store_begun_jobs();
+    void quarantine(const std::string& id, std::string_view reason);
+    void cancel_quarantined_job(const std::string& id);
 
     // Calls to backend servers (dispatcher_servers.cpp).
     void poll_servers();
@@ -264,8 +322,18 @@
                  const run_id& run,
                  const order_reply& reply);
 
+    // Limits and shares of customers (dispatcher_limits.cpp).
+    void record_rate(const step_job& job);
+    void restore_rates();
+    void log_limited(const planning_view& view,
+                     const std::vector<std::size_t>& steps);
+
     // Planning (dispatcher_plan.cpp).
     void plan();
+    void open_due_repetitions();
+    // Before the jobs are restored: one at fault is not.
+    void start_trial();
+    void advance_trial();
     void place(const planning_view& view, const planned_placement& decision);
     void preempt(const planning_view& view,
                  const planned_preemption& decision,
@@ -284,8 +352,10 @@
     server_registry registry_;
     // Servers that were lost with runs, and the open jobs of these.
     std::map<server_incarnation, std::set<std::string>> lost_servers_;
-    std::map<std::string, std::string> progress_rows_;
+    // Rows of progress that a new leader has read, by job.
+    std::map<std::string, progress_texts> progress_texts_;
     std::string progress_cursor_;
+    scan_pace progress_pace_;
     bool progress_in_flight_ = false;
     bool progress_loaded_ = false;
     time_point next_load_{};
@@ -294,17 +364,29 @@
     std::map<std::string, job_progress> open_jobs_;
     // Ended jobs, which are not opened again. Erased with their rows.
     std::set<std::string> ended_jobs_;
-    // Jobs whose progress is not known, since their rows cannot be decoded.
-    std::set<std::string> damaged_jobs_;
+    // Jobs of which no task is started, and none stopped unless the job is
+    // cancelled: their progress cannot be decoded or stored.
+    std::set<std::string> quarantined_jobs_;
+    // Progress rows that may exist, by job.
+    std::map<std::string, progress_rows> stored_rows_;
     // State of each job in the table.
     std::map<std::string, step_job_state> stored_states_;
-    std::set<std::string> dirty_jobs_;
+    commit_queue dirty_jobs_;
+    // Jobs that have begun, and when that is to be stored at the latest.
+    std::map<std::string, time_point> begun_jobs_;
+    // Jobs of which no further repetition is open for want of memory.
+    std::set<std::string> jobs_without_memory_;
+    // Only after leaders that ended early.
+    std::optional<job_trial> trial_;
     gang_ends gang_ends_;
     step_planner planner_;
     server_speed speeds_;
     time_point next_classification_{};
     // Steps that cannot be placed, with the time of the next report.
     std::map<std::pair<step_id, block_reason>, time_point> blocked_steps_;
+    customer_rates rates_;
+    // When the limit of its customer is next logged as what a job waits for.
+    std::map<std::string, time_point> next_limit_log_;
     run_log run_log_;
     bool plan_due_ = true;
     bool advance_posted_ = false;
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -1,6 +1,7 @@
 // Planning: carries out the decisions of the planner.
 #include "base/log.hpp"
 #include "domain/dispatcher.hpp"
+#include "domain/open_work.hpp"
 
 #include <utility>
 
@@ -21,6 +22,7 @@
     {
         return;
     }
+    open_due_repetitions();
     auto view = make_planning_view({hooks_.now(),
                                     hooks_.unix_now(),
                                     open_jobs_,
@@ -30,7 +32,9 @@
                                     settings_.remote_slowdown,
                                     speeds_,
                                     settings_.limit_overage,
-                                    &jobs_});
+                                    settings_.weigh_value,
+                                    &jobs_,
+                                    &rates_});
     if (view.input.steps.empty())
     {
         return;
@@ -46,6 +50,7 @@
     {
         place(view, item);
     }
+    log_limited(view, decisions.limited);
     for (std::size_t i = 0; i < victims.size(); ++i)
     {
         preempt(view, decisions.preemptions[i], victims[i]);
@@ -57,6 +62,87 @@
     }
 }
 
+std::size_t dispatcher::open_tasks() const
+{
+    std::size_t tasks = 0;
+    for (const auto& [id, job] : open_jobs_)
+    {
+        tasks += job.repetitions().size() * job.tasks_per_repetition();
+    }
+    return tasks;
+}
+
+void dispatcher::start_trial()
+{
+    if (leader_.short_terms() < short_terms_before_trial)
+    {
+        return;
+    }
+    trial_.emplace(leader_.predecessor_trial());
+    for (const auto& [id, record] : jobs_.all())
+    {
+        if (record.job && !is_final(record.reported_state()) &&
+            !quarantined_jobs_.contains(id))
+        {
+            trial_->add(*record.job);
+        }
+    }
+    advance_trial();
+}
+
+void dispatcher::advance_trial()
+{
+    if (!trial_)
+    {
+        return;
+    }
+    const auto before = trial_->note();
+    trial_->advance(hooks_.now(), leader_.trial_stored());
+    const auto guilty = trial_->guilty();
+    if (guilty && !quarantined_jobs_.contains(*guilty))
+    {
+        quarantine(*guilty, "leaders end again and again when they begin it");
+    }
+    if (trial_->note() != before)
+    {
+        leader_.set_trial(trial_->note());
+        log_line(log_level::warning,
+                 "sched",
+                 "Leaders have ended early; waiting jobs are begun in groups.",
+                 {{"after", trial_->note().after},
+                  {"to", trial_->note().to},
+                  {"ends", std::to_string(trial_->note().ends)}});
+    }
+    if (trial_->done())
+    {
+        trial_.reset();
+    }
+}
+
+void dispatcher::open_due_repetitions()
+{
+    advance_trial();
+    auto waiting =
+        open_due_work(open_jobs_,
+                      hooks_.unix_now(),
+                      max_open_tasks(settings_.memory_mb),
+                      [this](const job_progress& job)
+                      { return !trial_ || trial_->may_begin(job.job()); });
+    for (const auto& id : waiting)
+    {
+        if (!jobs_without_memory_.contains(id))
+        {
+            hooks_.count("jobs_without_memory", 1);
+            log_line(log_level::info,
+                     "sched",
+                     "Tasks of a job wait, since the leader already holds the "
+                     "state of as many as its memory allows.",
+                     {{"job", id}});
+        }
+    }
+    jobs_without_memory_ = std::move(waiting);
+}
+
 // Says why steps wait that no plan will place while the fleet is as it is.
 void dispatcher::report_blocked(std::span<const blocked_step> blocked)
 {
@@ -151,6 +237,11 @@
     hooks_.count("preemptions", static_cast<double>(victims.size()));
     for (const auto& [server, run] : victims)
     {
+        const auto victim = open_jobs_.find(run.task.job);
+        if (victim != open_jobs_.end())
+        {
+            victim->second.record_preemption(run.task);
+        }
         request_stop(server, run, "a more urgent job needs the room");
     }
 }
--- a/src/domain/job_api.cpp
+++ b/src/domain/job_api.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "model/codec.hpp"
 #include "model/step_job_codec.hpp"
+#include "policy/customer_limits.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -205,6 +206,13 @@
         call->done({result_code::conflict, "the row exists"}, reply.found);
         return;
     }
+    if (is_permanent_refusal(reply.error))
+    {
+        call->done({result_code::bad_request,
+                    "the store refuses the job: " + reply.error.reason},
+                   {});
+        return;
+    }
     const bool refused = code == result_code::store_unavailable ||
                          code == result_code::unreachable;
     call->outcome_unknown = call->outcome_unknown || !refused;
@@ -258,6 +266,17 @@
                  step_job_state::queued});
         return;
     }
+    const auto* customer = deployment_.customer(call.customer);
+    const auto wide_step = customer == nullptr
+                               ? std::nullopt
+                               : step_beyond_limit(customer->limit,
+                                                   settings_.limit_overage,
+                                                   spec.steps);
+    if (wide_step)
+    {
+        refuse_wide(call, id, *wide_step, deadline, std::move(respond));
+        return;
+    }
     step_job job;
     job.id = id;
     job.customer = call.customer;
@@ -269,6 +288,15 @@
     auto pending = std::make_shared<write_call>();
     pending->row = {job_row_key(id, job_row_kind::accepted),
                     json_text(to_json(job))};
+    if (pending->row.value.size() > max_row_bytes)
+    {
+        respond({{result_code::bad_request,
+                  "the job takes " + std::to_string(pending->row.value.size()) +
+                      " bytes in its row; the limit is " +
+                      std::to_string(max_row_bytes)},
+                 step_job_state::queued});
+        return;
+    }
     pending->deadline = deadline;
     pending->done = [this, call, id, respond = std::move(respond)](
                         failure error, const std::vector<table_row>&)
@@ -287,6 +315,43 @@
     write(pending);
 }
 
+// The same job may have been accepted by another VM under a higher limit; only
+// a job that the store does not have is refused as not run.
+void job_api::refuse_wide(const admitted_call& call,
+                          const std::string& id,
+                          std::size_t step,
+                          time_point deadline,
+                          job_responder respond)
+{
+    find(id,
+         deadline,
+         [this, call, step, respond = std::move(respond)](
+             const failure& error, const job_record* record)
+         {
+             if (error)
+             {
+                 respond({{result_code::answer_lost, error.reason},
+                          step_job_state::queued});
+             }
+             else if (record != nullptr)
+             {
+                 respond({owns(call, *record)
+                              ? failure{}
+                              : failure{result_code::key_reused,
+                                        "another customer's job has this id"},
+                          record->reported_state()});
+             }
+             else
+             {
+                 respond({{result_code::shed,
+                           "step " + std::to_string(step) +
+                               " can never run within the limit of its "
+                               "customer"},
+                          step_job_state::queued});
+             }
+         });
+}
+
 void job_api::status(const admitted_call& call,
                      const std::string& id,
                      time_point deadline,
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -60,6 +60,7 @@
     {
         view_.input.now = records.now;
         view_.input.unix_now = records.unix_now;
+        view_.input.weigh_value = records.weigh_value;
         view_.input.limit_overage = records.limit_overage;
     }
 
@@ -102,13 +103,14 @@
 
     void add_waiting(job_progress& progress)
     {
-        progress.open_due_repetitions(records_.unix_now);
         for (auto& [number, repetition] : progress.repetitions())
         {
             for (std::size_t i = 0; i < repetition.steps.size(); ++i)
             {
                 const auto step = static_cast<int>(i);
                 auto tasks = progress.ready_tasks(number, step);
+                record_restart(
+                    progress.spec_of(step), tasks, repetition.steps[i]);
                 if (tasks.empty())
                 {
                     continue;
@@ -126,6 +128,29 @@
         }
     }
 
+    void record_restart(const step_spec& spec,
+                        const std::vector<int>& tasks,
+                        step_progress& step) const
+    {
+        const bool has_run =
+            spec.long_running &&
+            std::any_of(tasks.begin(),
+                        tasks.end(),
+                        [&step](int index) {
+                            return step.tasks
+                                       .at(static_cast<std::size_t>(index))
+                                       .attempt > 0;
+                        });
+        if (!has_run)
+        {
+            step.restart_since.reset();
+        }
+        else if (!step.restart_since)
+        {
+            step.restart_since = records_.now;
+        }
+    }
+
     // Moves the tasks that are to be kept apart out of `tasks`. The members of
     // a gang are kept apart together.
     static std::vector<int> take_suspects(const job_progress& progress,
@@ -164,11 +189,7 @@
         auto suspects = take_suspects(progress, name, tasks);
         if (!tasks.empty())
         {
-            add_step(progress,
-                     name,
-                     std::move(tasks),
-                     step.ready_since,
-                     isolation::none);
+            add_step(progress, name, std::move(tasks), step, isolation::none);
         }
         if (suspects.empty())
         {
@@ -182,7 +203,7 @@
         add_step(progress,
                  name,
                  std::move(suspects),
-                 step.ready_since,
+                 step,
                  records_.now < step.empty_servers_until
                      ? isolation::empty_servers
                      : isolation::proven_servers);
@@ -191,7 +212,7 @@
     void add_step(job_progress& progress,
                   const task_name& name,
                   std::vector<int> tasks,
-                  time_point since,
+                  const step_progress& step,
                   isolation isolated)
     {
         const auto& job = progress.job();
@@ -203,14 +224,13 @@
         item.priority = job.policy.priority;
         item.customer = customer_index(job.customer);
         item.accepted_unix_ms = job.accepted_unix_ms;
-        item.deadline_unix_ms =
-            job.accepted_unix_ms + job.policy.latency_slack.count() +
-            static_cast<std::int64_t>(
-                job.policy.stretch *
-                static_cast<double>(critical_path(job.spec).count()));
+        item.deadline_unix_ms = progress.deadline_unix_ms();
         item.request.tolerated_slowdown =
             tolerated_slowdown(job, item.deadline_unix_ms);
-        item.ready_since = since;
+        item.beyond_rate =
+            records_.rates != nullptr && records_.rates->beyond(job.id);
+        item.ready_since = step.ready_since;
+        item.restart_since = step.restart_since;
         view_.input.steps.push_back(std::move(item));
         view_.steps.push_back({&progress, std::move(tasks)});
     }
@@ -339,6 +359,11 @@
         const auto& spec = job->spec_of(run.task.step);
         group.priority = job->job().policy.priority;
         group.preemptible = !spec.long_running;
+        group.job = {job->job().accepted_unix_ms, job->deadline_unix_ms()};
+        group.estimate = spec.estimate;
+        group.left_after_stop =
+            std::max(group.left_after_stop, left_after_stop(spec, record));
+        group.stopped_before = group.stopped_before || task->stopped_for_others;
         group.lost_core_seconds += lost_core_seconds(spec, record);
         group.expected_end =
             std::max(group.expected_end, expected_end(spec, server, record));
@@ -354,22 +379,17 @@
     void charge(const run_id& run, const job_progress* open, run_group& group)
     {
         const step_job* job = open == nullptr ? nullptr : &open->job();
-        resources charged;
+        const job_record* record = nullptr;
         if (job == nullptr && records_.directory != nullptr)
         {
-            const auto* record = records_.directory->find(run.task.job);
+            record = records_.directory->find(run.task.job);
             job = record != nullptr && record->job ? &*record->job : nullptr;
-            charged = record != nullptr ? record->largest_need : resources{};
         }
         if (job == nullptr)
         {
             return;
         }
-        const auto step = static_cast<std::size_t>(run.task.step);
-        if (step < job->spec.steps.size())
-        {
-            charged = charged_for_task(job->spec.steps[step]);
-        }
+        const auto charged = charged_for_run(*job, record, run);
         group.customer = customer_index(job->customer);
         group.charged += charged;
         view_.input.customers[group.customer].held += charged;
@@ -442,6 +462,16 @@
                                       record.percent;
     }
 
+    // Run time of a new start of the task.
+    static milliseconds left_after_stop(const step_spec& spec,
+                                        const server_run& record)
+    {
+        return spec.checkpoints
+                   ? spec.estimate * (hundred_percent - record.percent) /
+                         hundred_percent
+                   : spec.estimate;
+    }
+
     // A step with a limit of tasks per server has to know its own.
     void count_existing_tasks()
     {
@@ -503,6 +533,18 @@
     return result;
 }
 
+resources charged_for_run(const step_job& job,
+                          const job_record* record,
+                          const run_id& run)
+{
+    const auto step = static_cast<std::size_t>(run.task.step);
+    if (step < job.spec.steps.size())
+    {
+        return charged_for_task(job.spec.steps[step]);
+    }
+    return record != nullptr ? record->largest_need : resources{};
+}
+
 planning_view make_planning_view(const planning_records& records)
 {
     return view_builder(records).build();
--- a/src/domain/planning_view.hpp
+++ b/src/domain/planning_view.hpp
@@ -7,6 +7,7 @@
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
 #include "domain/server_registry.hpp"
+#include "policy/customer_rates.hpp"
 #include "policy/step_planner.hpp"
 
 #include <cstdint>
@@ -39,9 +40,13 @@
     // Share of its limit by which a customer may exceed it, for a gang that is
     // wider than the limit.
     double limit_overage = 0;
+    // Weigh what callers lose by waiting.
+    bool weigh_value = false;
     // All accepted jobs, to find the customers of runs whose job has ended; may
     // be null.
     const job_directory* directory = nullptr;
+    // Which jobs exceed the rates of their customers; may be null.
+    const customer_rates* rates = nullptr;
 };
 
 // Valid until the records change.
@@ -69,7 +74,13 @@
     placed_runs runs_of(const std::vector<std::size_t>& groups) const;
 };
 
-// Collects the waiting steps of all jobs. Opens due repetitions, and sets
+// What a run counts with under the limit of its customer. `record` is that of
+// the job in the directory, or null. Thread safe.
+resources charged_for_run(const step_job& job,
+                          const job_record* record,
+                          const run_id& run);
+
+// Collects the waiting steps of the open repetitions of all jobs, and sets
 // `ready_since` of the steps that it meets first. `input.steps` is empty if no
 // step waits; nothing else is filled in then.
 planning_view make_planning_view(const planning_records& records);
--- a/src/policy/server_speed.cpp
+++ b/src/policy/server_speed.cpp
@@ -31,7 +31,7 @@
 // variance of the work (0.17 squared) by that between servers (0.4 squared).
 constexpr double prior_runs = 0.15;
 // Only about so many runs count, so that the estimate follows the server.
-constexpr double max_runs = 3;
+constexpr double max_runs = 2;
 
 // Values of a step that are needed to compare a run with them.
 constexpr std::size_t min_values = 4;
@@ -47,8 +47,11 @@
 constexpr double sudden = 1.1;
 // One observation changes an estimate by no more than its share of this.
 constexpr double max_deviation = 0.8;
-// Runs that still count after a server has become much faster.
-constexpr float runs_after_recovery = 0.3F;
+// Runs that still count after a server has become much faster or slower.
+constexpr float runs_after_change = 0.1F;
+// With fewer observed runs a server has no usual speed yet, from which a slow
+// phase could differ.
+constexpr float min_usual_runs = 1;
 
 // A slow phase is over this long after the last slow observation; running tasks
 // are observed every 2 s at least.
@@ -63,8 +66,8 @@
 // No running task goes unobserved for so long while its server replies.
 constexpr milliseconds step_memory{10000};
 
-// The percentiles of fewer servers say little.
-constexpr std::size_t min_known_servers = 8;
+// The percentiles of fewer servers are off by a quarter or more.
+constexpr std::size_t min_known_servers = 16;
 // Estimates from fewer runs do not count for the spread of the fleet.
 constexpr float min_runs_for_spread = 1;
 constexpr double low_percentile = 0.1;
@@ -82,6 +85,13 @@
                        share};
 }
 
+// An average with weights that fall exponentially has the error of one over
+// twice as many runs.
+double counted_runs(const speed_estimate& server)
+{
+    return server.runs < max_runs ? server.runs : 2 * max_runs;
+}
+
 // The value at this share of the sorted values. Precondition: there are some.
 double percentile(std::vector<double>& values, double share)
 {
@@ -133,7 +143,7 @@
 
 double error_of(const speed_estimate& server)
 {
-    return work_deviation / std::sqrt(server.runs + prior_runs);
+    return work_deviation / std::sqrt(counted_runs(server) + prior_runs);
 }
 
 void server_speed::observe(speed_estimate& server,
@@ -168,7 +178,7 @@
     server.suspect_run = 0;
     if (deviation < -sudden)
     {
-        server.runs = std::min(server.runs, runs_after_recovery);
+        server.runs = std::min(server.runs, runs_after_change);
     }
     const auto clipped =
         deviation < -sudden
@@ -249,11 +259,13 @@
         server.slow_since = now;
     }
     server.slow_phase = static_cast<float>(excess);
-    if (now - server.slow_since >= max_slow_phase)
+    if (now - server.slow_since >= max_slow_phase ||
+        server.runs < min_usual_runs)
     {
         server.log_factor += server.slow_phase;
-        server.runs = runs_after_recovery;
+        server.runs = runs_after_change;
         server.slow_phase = 0;
+        server.suspect_run = 0;
     }
 }
 
@@ -282,13 +294,25 @@
     fleet_ = {};
     std::vector<double> factors;
     factors.reserve(servers.size());
+    // The usual speed is that of all servers: those with much work, which are
+    // known best, are the slow ones once speeds are in force.
+    std::vector<double> all;
+    all.reserve(servers.size());
+    double sum = 0;
+    double squares = 0;
+    double error = 0;
     for (const auto* server : servers)
     {
+        all.push_back(server->log_factor);
         if (server->runs >= min_runs_for_spread)
         {
             // Without the assumption that the server is like the others.
-            factors.push_back(server->log_factor * (server->runs + prior_runs) /
-                              server->runs);
+            const double factor =
+                server->log_factor * (server->runs + prior_runs) / server->runs;
+            factors.push_back(factor);
+            sum += factor;
+            squares += factor * factor;
+            error += work_deviation * work_deviation / counted_runs(*server);
         }
     }
     fleet_.known = factors.size();
@@ -299,8 +323,15 @@
     }
     const double low = percentile(factors, low_percentile);
     const double high = percentile(factors, high_percentile);
-    median_ = percentile(factors, 0.5);
-    fleet_.spread = std::exp(std::max(high - median_, median_ - low));
+    const double median = percentile(factors, 0.5);
+    median_ = percentile(all, 0.5);
+    // The errors of the estimates widen the spread.
+    const auto count = static_cast<double>(factors.size());
+    const double variance = squares / count - sum * sum / count / count;
+    const double true_share =
+        variance > 0 ? std::max(0.0, 1 - error / count / variance) : 0;
+    fleet_.spread =
+        std::exp(std::max(high - median, median - low) * std::sqrt(true_share));
 }
 
 void server_speed::set_level(speed_estimate& server, double tolerated) const
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -50,19 +50,14 @@
 // end has not, or other capacity has become cheaper.
 constexpr milliseconds search_interval{500};
 
-// Limits reservations that wait for runs to end, since their free capacity
-// stays idle.
-constexpr int max_waiting_reservations = 3;
+// A long-running task that waits longer than this for its restart goes wherever
+// there is room: it must run again within 6 s of its last end, also on a full
+// fleet. Its end is known and its start takes effect within a second.
+constexpr milliseconds restart_patience{3000};
 
 // Searches for occupied capacity in one plan. Each looks at all runs.
 constexpr int max_searches = 12;
 
-// Limit on the work lost by preemption for an urgent step outside of its
-// customer's guarantee, as a multiple of the step's own work. Steps that are
-// not urgent stop no runs: replays of an overloaded fleet lost more work by
-// that than they gained.
-constexpr double max_loss_factor = 1.5;
-
 // Cost of a stop beside the lost work, as run time: the place is not used while
 // the run stops, waits and starts again, and a gang has to be assembled anew.
 constexpr double stop_overhead_s = 1;
@@ -100,19 +95,24 @@
                                               round_.input.groups,
                                               round_.input.now + long_run_time);
     start_ledger();
+    for (const auto& step : round_.input.steps)
+    {
+        round_.last_level = std::max(round_.last_level, step.priority + 2);
+    }
     validate_reservations();
     claim_guarantees();
     drop_blocked_reservations();
     update_reservation_levels();
     keep_headroom();
     int excluded = -1;
-    for (const auto index : ranked_steps())
+    auto order = steps_by_share();
+    while (const auto index = order.next(round_.limits))
     {
-        while (excluded < level_of(index))
+        while (excluded < level_of(*index))
         {
             exclude_reservations(++excluded);
         }
-        plan_step(index);
+        plan_step(*index);
     }
     auto& decisions = round_.decisions;
     if (decisions.placements.empty() && decisions.preemptions.empty())
@@ -165,12 +165,6 @@
     }
 }
 
-bool step_planner::misses_deadline(const waiting_step& step) const
-{
-    return round_.input.unix_now + step.request.step->estimate.count() >
-           step.deadline_unix_ms;
-}
-
 std::vector<std::size_t> step_planner::ranked_steps() const
 {
     const auto& steps = round_.input.steps;
@@ -182,11 +176,14 @@
     const auto rank = [this, &steps](std::size_t index)
     {
         const auto& step = steps[index];
-        return std::tuple<int, bool, std::int64_t, const step_id&>(
-            level_of(index),
-            misses_deadline(step),
-            step.deadline_unix_ms,
-            step.id);
+        return std::
+            tuple<int, bool, bool, job_prospect, std::int64_t, const step_id&>(
+                level_of(index),
+                !step.restart_since,
+                yields(index),
+                prospect_of(step),
+                step.deadline_unix_ms,
+                step.id);
     };
     std::sort(order.begin(),
               order.end(),
@@ -306,8 +303,13 @@
 // steps, then the other priorities.
 int step_planner::level_of(std::size_t index) const
 {
-    return round_.in_guarantee[index] ? 0
-                                      : round_.input.steps[index].priority + 1;
+    const auto& step = round_.input.steps[index];
+    if (round_.in_guarantee[index])
+    {
+        return 0;
+    }
+    return prospect_of(step) == job_prospect::lost ? round_.last_level
+                                                   : step.priority + 1;
 }
 
 // A step may come into its customer's guarantee, or leave it, while it waits.
@@ -385,8 +387,17 @@
     {
         exclude(own->second, true);
     }
-    const int placed = room.now > 0 ? place_free(index, has_reservation) : 0;
+    int placed = room.now > 0 ? place_free(index, has_reservation) : 0;
+    if (placed == 0 && room.now > 0 && step.restart_since)
+    {
+        placed = place_restart(index);
+    }
     const int missing = room.after_stops - placed;
+    round_.input.steps[index].request.tasks = room.after_stops;
+    if (round_.in_guarantee[index])
+    {
+        round_.limits.add_expected(step.customer, *step.request.step, missing);
+    }
     if (has_reservation)
     {
         exclude(own->second, false);
@@ -403,6 +414,57 @@
     {
         report_blocked(index);
     }
+    round_.urgent_waits =
+        round_.urgent_waits ||
+        (missing > 0 && step.priority == 0 && tasks_in_reach(index) > 0);
+}
+
+// Hides or shows the reservations that wait for runs to end, as far as they are
+// hidden from the step, and as a restart may use their capacity.
+void step_planner::exclude_waiting(std::size_t index,
+                                   bool overdue,
+                                   bool add_back)
+{
+    const auto& own = round_.input.steps[index].id;
+    for (const auto& [id, reserved] : reservations_)
+    {
+        const bool urgent = reserved.level <= 1;
+        if (!reserved.preempted && reserved.level <= level_of(index) &&
+            (overdue || !urgent) && id != own)
+        {
+            exclude(reserved, add_back);
+        }
+    }
+}
+
+// Places long-running tasks that have run before where other steps may not be
+// placed: into the headroom if no urgent step waits for it, and into capacity
+// that is kept for steps that wait for runs to end. Overdue ones also go far
+// from their data, into the headroom in any case, and to servers on which runs
+// have failed. Returns the number of tasks that are placed.
+int step_planner::place_restart(std::size_t index)
+{
+    const auto& step = round_.input.steps[index];
+    const bool overdue =
+        round_.input.now - *step.restart_since >= restart_patience;
+    auto request = step.request;
+    request.urgent = request.urgent || overdue || !round_.urgent_waits;
+    if (overdue)
+    {
+        request.max_slowdown =
+            request.remote_slowdown * request.remote_slowdown;
+        request.max_failures = std::numeric_limits<int>::max();
+    }
+    exclude_waiting(index, overdue, true);
+    const auto result =
+        search(request, &round_.restart_capacity[{level_of(index), overdue}]);
+    exclude_waiting(index, overdue, false);
+    if (!result)
+    {
+        return 0;
+    }
+    apply_placement(index, *result);
+    return result->tasks;
 }
 
 int step_planner::place_free(std::size_t index, bool has_reservation)
@@ -489,16 +551,8 @@
         {index, step.id, result, round_.in_guarantee[index], isolated});
 }
 
-int step_planner::waiting_reservations() const
-{
-    return static_cast<int>(std::count_if(reservations_.begin(),
-                                          reservations_.end(),
-                                          [](const auto& item)
-                                          { return !item.second.preempted; }));
-}
-
 // An urgent step always gets a reservation; of the others only gangs, which the
-// tasks of less urgent jobs would starve.
+// tasks of less urgent jobs would starve, and restarts of long-running tasks.
 void step_planner::reserve(std::size_t index, int tasks)
 {
     const auto& step = round_.input.steps[index];
@@ -510,7 +564,10 @@
     {
         return;
     }
-    if (!urgent && (!step.request.step->gang || misses_deadline(step)))
+    const bool restart = step.restart_since.has_value();
+    if (yields(index) ||
+        (!urgent && !restart &&
+         (!step.request.step->gang || !is_worth_reserving(step))))
     {
         return;
     }
@@ -533,7 +590,7 @@
         return;
     }
     if (!may_wait_reserved(index) ||
-        (!urgent && waiting_reservations() >= max_waiting_reservations))
+        (!urgent && !restart && !may_add_waiting_reservation()))
     {
         return;
     }
@@ -559,12 +616,10 @@
     double lost = 0;
     for (const auto group : claim->groups)
     {
-        lost += loss_of(round_.input.groups[group]);
+        const auto& victim = round_.input.groups[group];
+        lost += loss_of(victim) + value_lost_by_stop(index, victim);
     }
-    const auto& spec = *step.request.step;
-    const double own = static_cast<double>(spec.estimate.count()) / ms_per_s *
-                       spec.need.equivalent_cores() * tasks;
-    if (!round_.in_guarantee[index] && lost > max_loss_factor * own)
+    if (lost > loss_limit(index, tasks))
     {
         return false;
     }
@@ -650,7 +705,10 @@
                             static_cast<double>(victim.servers.size());
     if (victim.priority > step.priority)
     {
-        return cost;
+        return victim.stopped_before && round_.input.weigh_value &&
+                       !round_.in_guarantee[index]
+                   ? std::nullopt
+                   : std::optional(cost + value_lost_by_stop(index, victim));
     }
     if (!round_.in_guarantee[index] || victim.priority != 0 ||
         victim.customer == step.customer)
--- a/src/policy/step_planner.hpp
+++ b/src/policy/step_planner.hpp
@@ -7,8 +7,10 @@
 #include "base/time.hpp"
 #include "policy/capacity_search.hpp"
 #include "policy/customer_limits.hpp"
+#include "policy/customer_shares.hpp"
 #include "policy/fit_cache.hpp"
 #include "policy/guarantee_claims.hpp"
+#include "policy/job_value.hpp"
 #include "policy/step_placement.hpp"
 #include "policy/urgent_headroom.hpp"
 
@@ -54,8 +56,12 @@
     std::int64_t accepted_unix_ms = 0;
     // Soft deadline of the job: completion is worth little afterwards.
     std::int64_t deadline_unix_ms = 0;
+    // Of a job beyond the number per second that its customer is entitled to.
+    bool beyond_rate = false;
     // When the tasks could first be placed.
     time_point ready_since{};
+    // Since when long-running tasks that have run before wait for a restart.
+    std::optional<time_point> restart_since;
 };
 
 // State of the domain at the time of a plan.
@@ -72,6 +78,9 @@
     // Share of its limit that a customer may exceed it by for a gang that alone
     // is wider.
     double limit_overage = 0;
+    // Weigh what callers lose: work whose result is of no more use comes last,
+    // and runs are stopped only if more is gained than lost.
+    bool weigh_value = false;
     // Share of all accelerators that is in use.
     double utilization = 0;
 };
@@ -187,6 +196,8 @@
         std::vector<bool> room_kept;
         // By waiting step.
         std::vector<bool> in_guarantee;
+        // Level of the steps whose result is of no more use.
+        int last_level = 0;
         fit_cache free_capacity;
         fit_cache empty_servers;
         // Room beside the runs that take long to end; empty if there are none.
@@ -198,6 +209,10 @@
         std::map<std::tuple<int, bool, std::optional<std::size_t>>, fit_cache>
             occupied_capacity;
         int searches = 0;
+        // Urgent steps that can run were planned and still wait.
+        bool urgent_waits = false;
+        // What restarts may use, by level and whether they are overdue.
+        std::map<std::pair<int, bool>, fit_cache> restart_capacity;
         plan_decisions decisions;
     };
 
@@ -222,10 +237,17 @@
     std::int64_t waiting_urgent_accelerators();
     void drop_blocked_reservations();
     limit_room room_under_limit(std::size_t index);
+    // A job beyond its customer's rate comes last and stops no runs, except
+    // within the guarantee.
+    bool yields(std::size_t index) const;
+    share_order steps_by_share() const;
+    void make_room(std::size_t index);
 
     void place_or_reserve(std::size_t index, const limit_room& room);
     // Returns the number of tasks that are placed on free resources.
     int place_free(std::size_t index, bool has_reservation);
+    int place_restart(std::size_t index);
+    void exclude_waiting(std::size_t index, bool overdue, bool add_back);
     std::optional<placement_result> search(const placement_request& request,
                                            fit_cache* cache);
     bool fits_empty_servers(const placement_request& request);
@@ -246,9 +268,13 @@
     std::optional<double> wait_cost(std::size_t group) const;
     void stop_groups(std::size_t index, const capacity_claim& claim);
     bool misses_deadline(const waiting_step& step) const;
+    bool is_worth_reserving(const waiting_step& step) const;
+    bool may_add_waiting_reservation() const;
+    job_prospect prospect_of(const waiting_step& step) const;
+    double loss_limit(std::size_t index, int tasks) const;
+    double value_lost_by_stop(std::size_t index, const run_group& victim) const;
     double loss_of(const run_group& group) const;
     bool ends_soon(const run_group& group) const;
-    int waiting_reservations() const;
     bool is_wide(std::size_t index, int tasks) const;
     bool may_wait_reserved(std::size_t index) const;
     void limit_waiting(reservation& reserved, const step_id& id);
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -185,6 +185,9 @@
     // fail.
     std::uint64_t compacted_version = 0;
     bool store_down = false;
+    // The store refuses each write of this row permanently; empty: none.
+    std::string refused_key;
+    int refused_writes = 0;
 
     std::map<std::string, fake_server> servers;
     // Run time of the tasks of a job, instead of that of the server.
@@ -193,6 +196,7 @@
     deployment_config config;
     // The leader makes calls to servers through the other VMs.
     bool use_relays = false;
+    bool learn_speeds = false;
     // Tasks that crash each server that starts them, this long after the start.
     std::map<task_name, milliseconds> crashing_tasks;
     // A server that has crashed is back after this time, under another id at
