Fix what the linter found in the merged code

Cause: two names shadow a constant, a capture is not used, a string is built with temporaries. Change: renamed, removed, append.

--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -330,8 +330,12 @@
         auto text = *texts.text(document);
         if (document != head_document)
         {
-            text = R"({"open":{")" + std::to_string(document) + R"(":)" + text +
-                   "}}";
+            // The form of one row for all repetitions.
+            text = std::string(R"({"open":{")")
+                       .append(std::to_string(document))
+                       .append(R"(":)")
+                       .append(text)
+                       .append("}}");
         }
         const auto found = runs_in_row(id, text);
         runs.insert(runs.end(), found.begin(), found.end());
--- a/src/domain/dispatcher_commit.cpp
+++ b/src/domain/dispatcher_commit.cpp
@@ -87,7 +87,7 @@
     const auto oldest = hooks_.unix_now() - settings_.retention.count();
     leader_batch batch;
     commit_contents contents;
-    const auto is_expired = [this, oldest](const job_record* record)
+    const auto is_expired = [oldest](const job_record* record)
     {
         return record == nullptr ||
                (record->state && is_final(record->state->state) &&
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -422,7 +422,7 @@
 // Hides or shows the reservations that wait for runs to end, as far as they are
 // hidden from the step, and as a restart may use their capacity.
 void step_planner::exclude_waiting(std::size_t index,
-                                   bool overdue,
+                                   bool is_overdue,
                                    bool add_back)
 {
     const auto& own = round_.input.steps[index].id;
@@ -430,7 +430,7 @@
     {
         const bool urgent = reserved.level <= 1;
         if (!reserved.preempted && reserved.level <= level_of(index) &&
-            (overdue || !urgent) && id != own)
+            (is_overdue || !urgent) && id != own)
         {
             exclude(reserved, add_back);
         }
@@ -445,20 +445,20 @@
 int step_planner::place_restart(std::size_t index)
 {
     const auto& step = round_.input.steps[index];
-    const bool overdue =
+    const bool is_overdue =
         round_.input.now - *step.restart_since >= restart_patience;
     auto request = step.request;
-    request.urgent = request.urgent || overdue || !round_.urgent_waits;
-    if (overdue)
+    request.urgent = request.urgent || is_overdue || !round_.urgent_waits;
+    if (is_overdue)
     {
         request.max_slowdown =
             request.remote_slowdown * request.remote_slowdown;
         request.max_failures = std::numeric_limits<int>::max();
     }
-    exclude_waiting(index, overdue, true);
-    const auto result =
-        search(request, &round_.restart_capacity[{level_of(index), overdue}]);
-    exclude_waiting(index, overdue, false);
+    exclude_waiting(index, is_overdue, true);
+    const auto result = search(
+        request, &round_.restart_capacity[{level_of(index), is_overdue}]);
+    exclude_waiting(index, is_overdue, false);
     if (!result)
     {
         return 0;
--- a/src/policy/step_planner.hpp
+++ b/src/policy/step_planner.hpp
@@ -247,7 +247,7 @@
     // Returns the number of tasks that are placed on free resources.
     int place_free(std::size_t index, bool has_reservation);
     int place_restart(std::size_t index);
-    void exclude_waiting(std::size_t index, bool overdue, bool add_back);
+    void exclude_waiting(std::size_t index, bool is_overdue, bool add_back);
     std::optional<placement_result> search(const placement_request& request,
                                            fit_cache* cache);
     bool fits_empty_servers(const placement_request& request);
