--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -72,8 +72,6 @@
 constexpr double urgent_victim_weight = 4;
 constexpr double guarantee_victim_weight = 4;
 
-constexpr double ms_per_s = 1000;
-
 constexpr double no_limit = std::numeric_limits<double>::infinity();
 
 } // namespace
