--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -208,7 +208,7 @@
     }
     quarantined_jobs_.insert(leader_.quarantined_jobs().begin(),
                              leader_.quarantined_jobs().end());
-    start_trial();
+    start_bisection();
     for (const auto& [id, record] : jobs_.all())
     {
         if (!record.job)
@@ -491,9 +491,9 @@
               {"config", std::to_string(deployment_.version())}});
     record_rate(job);
     open_jobs_.try_emplace(job.id, job);
-    if (trial_)
+    if (bisection_)
     {
-        trial_->add(job);
+        bisection_->add(job);
     }
     request_plan();
 }
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -7,9 +7,9 @@
 #include "domain/commit_queue.hpp"
 #include "domain/deployment_view.hpp"
 #include "domain/gang_ends.hpp"
+#include "domain/job_bisection.hpp"
 #include "domain/job_directory.hpp"
 #include "domain/job_progress.hpp"
-#include "domain/job_trial.hpp"
 #include "domain/leadership.hpp"
 #include "domain/planning_view.hpp"
 #include "domain/progress_rows.hpp"
@@ -332,8 +332,8 @@
     void plan();
     void open_due_repetitions();
     // Before the jobs are restored: one at fault is not.
-    void start_trial();
-    void advance_trial();
+    void start_bisection();
+    void advance_bisection();
     void place(const planning_view& view, const planned_placement& decision);
     void preempt(const planning_view& view,
                  const planned_preemption& decision,
@@ -377,7 +377,7 @@
     // Jobs of which no further repetition is open for want of memory.
     std::set<std::string> jobs_without_memory_;
     // Only after leaders that ended early.
-    std::optional<job_trial> trial_;
+    std::optional<job_bisection> bisection_;
     gang_ends gang_ends_;
     step_planner planner_;
     server_speed speeds_;
--- a/src/domain/dispatcher_plan.cpp
+++ b/src/domain/dispatcher_plan.cpp
@@ -72,62 +72,64 @@
     return tasks;
 }
 
-void dispatcher::start_trial()
+void dispatcher::start_bisection()
 {
-    if (leader_.short_terms() < short_terms_before_trial)
+    if (leader_.short_terms() < short_terms_before_bisection)
     {
         return;
     }
-    trial_.emplace(leader_.predecessor_trial());
+    bisection_.emplace(leader_.predecessor_bisection());
     for (const auto& [id, record] : jobs_.all())
     {
         if (record.job && !is_final(record.reported_state()) &&
             !quarantined_jobs_.contains(id))
         {
-            trial_->add(*record.job);
+            bisection_->add(*record.job);
         }
     }
-    advance_trial();
+    advance_bisection();
 }
 
-void dispatcher::advance_trial()
+void dispatcher::advance_bisection()
 {
-    if (!trial_)
+    if (!bisection_)
     {
         return;
     }
-    const auto before = trial_->note();
-    trial_->advance(hooks_.now(), leader_.trial_stored());
-    const auto guilty = trial_->guilty();
-    if (guilty && !quarantined_jobs_.contains(*guilty))
+    const auto before = bisection_->note();
+    bisection_->advance(hooks_.now(), leader_.bisection_stored());
+    const auto faulty_job = bisection_->faulty_job();
+    if (faulty_job && !quarantined_jobs_.contains(*faulty_job))
     {
-        quarantine(*guilty, "leaders end again and again when they begin it");
+        quarantine(*faulty_job,
+                   "leaders end again and again when they begin it");
     }
-    if (trial_->note() != before)
+    if (bisection_->note() != before)
     {
-        leader_.set_trial(trial_->note());
+        leader_.set_bisection(bisection_->note());
         log_line(log_level::warning,
                  "sched",
                  "Leaders have ended early; waiting jobs are begun in groups.",
-                 {{"after", trial_->note().after},
-                  {"to", trial_->note().to},
-                  {"ends", std::to_string(trial_->note().ends)}});
+                 {{"after", bisection_->note().after},
+                  {"to", bisection_->note().to},
+                  {"ends", std::to_string(bisection_->note().ends)}});
     }
-    if (trial_->done())
+    if (bisection_->done())
     {
-        trial_.reset();
+        bisection_.reset();
     }
 }
 
 void dispatcher::open_due_repetitions()
 {
-    advance_trial();
-    auto waiting =
-        open_due_work(open_jobs_,
-                      hooks_.unix_now(),
-                      max_open_tasks(settings_.memory_mb),
-                      [this](const job_progress& job)
-                      { return !trial_ || trial_->may_begin(job.job()); });
+    advance_bisection();
+    auto waiting = open_due_work(open_jobs_,
+                                 hooks_.unix_now(),
+                                 max_open_tasks(settings_.memory_mb),
+                                 [this](const job_progress& job) {
+                                     return !bisection_ ||
+                                            bisection_->may_begin(job.job());
+                                 });
     for (const auto& id : waiting)
     {
         if (!jobs_without_memory_.contains(id))
--- a/src/domain/job_trial.cpp
+++ b/src/domain/job_bisection.cpp
@@ -1,4 +1,4 @@
-#include "domain/job_trial.hpp"
+#include "domain/job_bisection.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -17,7 +17,7 @@
 
 // Leaders also end for other causes: a job alone in its group is at fault after
 // the second.
-constexpr int ends_of_guilty = 2;
+constexpr int ends_of_faulty_job = 2;
 
 // Keys sort by the number of tasks over all repetitions, then by id.
 std::string key_of(const step_job& job)
@@ -35,11 +35,12 @@
 
 } // namespace
 
-job_trial::job_trial(trial_note failed) : failed_(std::move(failed))
+job_bisection::job_bisection(bisection_group failed)
+    : failed_(std::move(failed))
 {
 }
 
-void job_trial::add(const step_job& job)
+void job_bisection::add(const step_job& job)
 {
     const auto key = key_of(job);
     if (begun_ && key <= note_.to)
@@ -49,7 +50,7 @@
     jobs_.emplace(key, job.id);
 }
 
-void job_trial::advance(time_point now, bool stored)
+void job_bisection::advance(time_point now, bool stored)
 {
     stored_ = stored;
     if (!std::exchange(begun_, true))
@@ -78,7 +79,7 @@
 }
 
 // Half of the jobs after the key.
-void job_trial::choose_group(std::string after)
+void job_bisection::choose_group(std::string after)
 {
     const auto first = jobs_.upper_bound(after);
     const auto count = std::distance(first, jobs_.end());
@@ -91,7 +92,7 @@
 }
 
 // False if none of the group that failed is left.
-bool job_trial::choose_from_failed()
+bool job_bisection::choose_from_failed()
 {
     const auto first = jobs_.upper_bound(failed_.after);
     const auto end = jobs_.upper_bound(failed_.to);
@@ -105,9 +106,9 @@
         note_ = {failed_.after, std::next(first, (count - 1) / 2)->first, 0};
         return true;
     }
-    if (failed_.ends + 1 >= ends_of_guilty)
+    if (failed_.ends + 1 >= ends_of_faulty_job)
     {
-        guilty_ = first->second;
+        faulty_job_ = first->second;
         jobs_.erase(first);
         return false;
     }
@@ -115,7 +116,7 @@
     return true;
 }
 
-bool job_trial::may_begin(const step_job& job) const
+bool job_bisection::may_begin(const step_job& job) const
 {
     const auto key = key_of(job);
     return done_ || (begun_ && !late_.contains(key) &&
--- a/src/domain/leadership.cpp
+++ b/src/domain/leadership.cpp
@@ -77,7 +77,7 @@
     // False until the leader has led for `min_term`. True in rows of earlier
     // builds, which do not have it.
     bool lasted = true;
-    trial_note trial;
+    bisection_group bisection;
 };
 
 std::string to_text(const leader_row& row)
@@ -90,11 +90,11 @@
     json["processor_share"] = row.processor_share;
     json["short_terms"] = row.short_terms;
     json["lasted"] = row.lasted;
-    if (!row.trial.to.empty())
+    if (!row.bisection.to.empty())
     {
-        json["trial_after"] = row.trial.after;
-        json["trial_to"] = row.trial.to;
-        json["trial_ends"] = row.trial.ends;
+        json["bisection_after"] = row.bisection.after;
+        json["bisection_to"] = row.bisection.to;
+        json["bisection_ends"] = row.bisection.ends;
     }
     for (const auto& job : row.quarantined)
     {
@@ -121,9 +121,9 @@
         .read("quarantined", row.quarantined)
         .read("short_terms", row.short_terms)
         .read("lasted", row.lasted)
-        .read("trial_after", row.trial.after)
-        .read("trial_to", row.trial.to)
-        .read("trial_ends", row.trial.ends);
+        .read("bisection_after", row.bisection.after)
+        .read("bisection_to", row.bisection.to)
+        .read("bisection_ends", row.bisection.ends);
     return why ? std::nullopt : std::optional(row);
 }
 
@@ -164,10 +164,10 @@
     bool challenging = false;
     int short_terms = 0;
     time_point lasts_from{};
-    trial_note predecessor_trial;
-    trial_note trial;
-    std::optional<trial_note> sent_trial;
-    std::optional<trial_note> stored_trial;
+    bisection_group predecessor_bisection;
+    bisection_group bisection;
+    std::optional<bisection_group> sent_bisection;
+    std::optional<bisection_group> stored_bisection;
     // The write in flight is more than a renewal.
     bool batch_in_flight = false;
     bool leading = false;
@@ -205,7 +205,7 @@
                  quarantined,
                  short_terms,
                  hooks.now() >= lasts_from,
-                 trial}),
+                 bisection}),
     };
 }
 
@@ -320,13 +320,13 @@
 {
     in_flight = true;
     quarantined = seen.quarantined;
-    // A trial may take longer than `min_term`.
+    // A bisection may take longer than `min_term`.
     const bool ended_early = row.version != 0 && !seen.resigned &&
                              !challenging &&
-                             (!seen.lasted || !seen.trial.to.empty());
+                             (!seen.lasted || !seen.bisection.to.empty());
     short_terms = ended_early ? seen.short_terms + 1 : 0;
-    predecessor_trial = ended_early ? seen.trial : trial_note{};
-    trial = {};
+    predecessor_bisection = ended_early ? seen.bisection : bisection_group{};
+    bisection = {};
     lasts_from = hooks.now() + min_term;
     const auto new_epoch = last_epoch + 1;
     const auto sent = hooks.boot_now();
@@ -368,7 +368,7 @@
     predecessor_confirmed = version_first_seen;
     version = reply.version;
     confirmed = sent;
-    stored_trial.reset();
+    stored_bisection.reset();
     renew_at = hooks.now() + settings.renew_interval;
     // Allows the first commit at once, without the poll interval.
     next_call = hooks.now();
@@ -387,7 +387,7 @@
     in_flight = true;
     batch_in_flight = !batch.puts.empty() || !batch.removals.empty();
     commit_done = std::move(done);
-    sent_trial = trial;
+    sent_bisection = bisection;
     const auto sent = hooks.boot_now();
     table_transaction change;
     change.checks.push_back({leader_key, version});
@@ -418,7 +418,7 @@
     if (!reply.error)
     {
         version = reply.version;
-        stored_trial = sent_trial;
+        stored_bisection = sent_bisection;
         confirmed = sent;
         renew_at = hooks.now() + settings.renew_interval;
         retry.reset();
@@ -562,20 +562,20 @@
     return state_->short_terms;
 }
 
-const trial_note& leadership::predecessor_trial() const
+const bisection_group& leadership::predecessor_bisection() const
 {
-    return state_->predecessor_trial;
+    return state_->predecessor_bisection;
 }
 
-void leadership::set_trial(const trial_note& note)
+void leadership::set_bisection(const bisection_group& note)
 {
-    state_->trial = note;
+    state_->bisection = note;
     state_->renew_at = state_->hooks.now();
 }
 
-bool leadership::trial_stored() const
+bool leadership::bisection_stored() const
 {
-    return state_->stored_trial == state_->trial;
+    return state_->stored_bisection == state_->bisection;
 }
 
 bool leadership::leads() const
--- a/src/domain/leadership.hpp
+++ b/src/domain/leadership.hpp
@@ -55,15 +55,15 @@
 };
 
 // Group of jobs that a leader begins after leaders that ended early: those with
-// keys (see `job_trial`) after `after` and up to `to`. Empty `to`: none.
-struct trial_note
+// keys (see `job_bisection`) after `after` and up to `to`. Empty `to`: none.
+struct bisection_group
 {
     std::string after;
     std::string to;
     // Leaders that ended under this group before.
     int ends = 0;
 
-    bool operator==(const trial_note& other) const = default;
+    bool operator==(const bisection_group& other) const = default;
 };
 
 // Writes that are committed together with a renewal of the leader row.
@@ -101,13 +101,13 @@
     // Number of leaders in a row before this one that ended within 5 s of their
     // election without resigning; and the group of the last of them.
     int short_terms() const;
-    const trial_note& predecessor_trial() const;
+    const bisection_group& predecessor_bisection() const;
 
     // Names a group of jobs in the leader row, which is written soon.
-    // `trial_stored` tells whether that has been confirmed. Precondition: this
-    // VM leads.
-    void set_trial(const trial_note& note);
-    bool trial_stored() const;
+    // `bisection_stored` tells whether that has been confirmed. Precondition:
+    // this VM leads.
+    void set_bisection(const bisection_group& note);
+    bool bisection_stored() const;
 
     bool leads() const;
     std::uint64_t epoch() const;
--- a/src/policy/step_planner.cpp
+++ b/src/policy/step_planner.cpp
@@ -53,7 +53,7 @@
 // A long-running task that waits longer than this for its restart goes wherever
 // there is room: it must run again within 6 s of its last end, also on a full
 // fleet. Its end is known and its start takes effect within a second.
-constexpr milliseconds restart_patience{3000};
+constexpr milliseconds restart_timeout{3000};
 
 // Searches for occupied capacity in one plan. Each looks at all runs.
 constexpr int max_searches = 12;
@@ -444,7 +444,7 @@
 {
     const auto& step = round_.input.steps[index];
     const bool is_overdue =
-        round_.input.now - *step.restart_since >= restart_patience;
+        round_.input.now - *step.restart_since >= restart_timeout;
     auto request = step.request;
     request.urgent = request.urgent || is_overdue || !round_.urgent_waits;
     if (is_overdue)
