Review case 6: repeated leader kills make an accepted job stop for good

Cause: after two leaders in a row that ended within 5 s without resigning, the next one searches for a job that ends leaders. It takes a job for the cause after two leaders ended while that job was alone in its group, although the processes were killed from outside. The quarantined job's ends are discarded and acknowledged, and its next step never starts.

The case kills the leading process five times while the only open job is at work, then leaves the system alone.

--- /dev/null
+++ b/review/standin-2/cases.hpp
@@ -0,0 +1,22 @@
+#ifndef POPLARRAMP_REVIEW_CASES_HPP
+#define POPLARRAMP_REVIEW_CASES_HPP
+
+#include "world.hpp"
+
+namespace review
+{
+
+enum class verdict
+{
+    held = 0,
+    broken = 1,
+    not_run = 2,
+};
+
+// The leading process is killed five times; a job that is at work meanwhile
+// must still end.
+verdict leader_kills(world& site, bool trouble);
+
+} // namespace review
+
+#endif
