--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -211,4 +211,106 @@
     return longest_idle >= lost_after ? verdict::broken : verdict::held;
 }
 
+verdict failed_gang(world& site, bool trouble)
+{
+    constexpr int max_attempts = 3;
+    constexpr std::int64_t work = 3000;
+    constexpr std::int64_t cut_before_end = 200;
+    constexpr std::int64_t cut_time = 3000;
+    if (!set_up(site, max_attempts))
+    {
+        return verdict::not_run;
+    }
+    const std::string job = "00000000000000b1";
+    const auto failing_task = job + ".0.0.0";
+    site.sync([&] { site.gang_sizes[job] = 2; });
+    Json::Value body;
+    body["task_spec"] = std::to_string(work) + " fail";
+    auto gang = step(2, work, 8);
+    gang["gang"] = true;
+    body["phases"].append(gang);
+    const auto accepted = site.call(
+        "edge-1", "POST", queue + job, poplarramp::json_text(body));
+    if (accepted.status != 200)
+    {
+        return verdict::not_run;
+    }
+    std::string host;
+    std::int64_t ends = 0;
+    for (int i = 0; i < 500 && ends == 0; ++i)
+    {
+        site.sleep(10);
+        site.sync(
+            [&]
+            {
+                for (const auto& [id, item] : site.workers)
+                {
+                    for (const auto& candidate : item->active)
+                    {
+                        if (candidate.task == failing_task && candidate.ends)
+                        {
+                            host = id;
+                            ends = *candidate.ends;
+                        }
+                    }
+                }
+            });
+    }
+    if (ends == 0)
+    {
+        return verdict::not_run;
+    }
+    site.sleep(std::max<std::int64_t>(0, ends - cut_before_end - now_ms()));
+    if (trouble)
+    {
+        site.log("worker " + host + " is cut off and runs on");
+        site.sync([&] { site.workers.at(host)->cut = true; });
+    }
+    site.sleep(cut_time);
+    if (trouble)
+    {
+        site.log("worker " + host + " is reachable again");
+        site.sync([&] { site.workers.at(host)->cut = false; });
+    }
+    std::string state;
+    for (int i = 0; i < 80 && state != "failed"; ++i)
+    {
+        site.sleep(500);
+        state = site.call("edge-1", "GET", queue + job).body["state"].asString();
+    }
+    // Ends that are taken note of may follow the answer.
+    site.sleep(3000);
+    int failures = 0;
+    int starts_beyond = 0;
+    site.sync(
+        [&]
+        {
+            std::vector<std::int64_t> failed_at;
+            for (const auto& item : site.ends)
+            {
+                if (item.task == failing_task && item.how == "failed" &&
+                    item.noted && !item.lapsed_since)
+                {
+                    failed_at.push_back(item.at);
+                }
+            }
+            failures = static_cast<int>(failed_at.size());
+            for (const auto& item : site.starts)
+            {
+                const auto before = std::count_if(
+                    failed_at.begin(),
+                    failed_at.end(),
+                    [&item](std::int64_t at) { return at < item.at; });
+                starts_beyond +=
+                    item.task == failing_task && before >= max_attempts ? 1 : 0;
+            }
+        });
+    site.log(failing_task + " ended failed " + std::to_string(failures) +
+             " times, taken note of and without a lapse between; " +
+             std::to_string(starts_beyond) + " starts after " +
+             std::to_string(max_attempts) + " such ends; the job is shown as " +
+             state);
+    return starts_beyond > 0 ? verdict::broken : verdict::held;
+}
+
 } // namespace review
--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -17,6 +17,9 @@
 // must still end.
 verdict leader_kills(world& site, bool trouble);
 
+// The worker on which a gang fails is cut off for 3 s; the failure must count.
+verdict failed_gang(world& site, bool trouble);
+
 } // namespace review
 
 #endif
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -12,6 +12,7 @@
     using review::verdict;
     const std::map<std::string, verdict (*)(review::world&, bool)> cases{
         {"leader-kills", review::leader_kills},
+        {"failed-gang", review::failed_gang},
     };
     constexpr int argument_count = 4;
     if (argc != argument_count || !cases.contains(argv[1]))
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -32,6 +32,7 @@
 
 constexpr std::int64_t tick_interval = 5;
 constexpr int max_rows = 500;
+constexpr std::int64_t far = 3'600'000;
 
 Json::Value parse(const std::string& text)
 {
@@ -394,9 +395,10 @@
     const auto spec = body["task_spec"].asString();
     item.fails = spec.find("fail") != std::string::npos;
     const bool gang = world_.gang_sizes.contains(job_of(task));
+    item.work = std::stoll(spec);
     if (!gang)
     {
-        item.ends = item.started + std::stoll(spec);
+        item.ends = item.started + item.work;
     }
     active.push_back(item);
     world_.starts.push_back({now_ms(), task, attempt, id});
@@ -495,6 +497,7 @@
                           const bool noted = item.number <= seen;
                           if (noted)
                           {
+                              world_.note(item.task, item.attempt, item.how);
                               world_.log("worker " + id + " end " +
                                          std::to_string(item.number) + " (" +
                                          item.task + " " + item.how +
@@ -534,6 +537,10 @@
 void worker::tick()
 {
     const auto now = now_ms();
+    if (clock() > lease_ && lease_ > 0)
+    {
+        world_.lapse(id);
+    }
     if (!active.empty() && clock() > lease_)
     {
         const auto lapsed = active;
@@ -916,6 +923,39 @@
     }
     log("gang " + step_of(task) + " run " + std::to_string(attempt) +
         " is complete");
+    for (auto* member : members)
+    {
+        // Of a gang that fails, the first member does so.
+        const bool first = member->task.ends_with(".0");
+        member->ends =
+            now_ms() + member->work + (member->fails && !first ? far : 0);
+        member->fails = member->fails && first;
+    }
+}
+
+// An end that is taken note of after a lapse of the lease does not count.
+void world::lapse(const std::string& worker_id)
+{
+    for (auto& item : ends)
+    {
+        if (item.worker == worker_id && !item.noted)
+        {
+            item.lapsed_since = true;
+        }
+    }
+}
+
+void world::note(const std::string& task,
+                 int attempt,
+                 const std::string& how)
+{
+    for (auto& item : ends)
+    {
+        if (item.task == task && item.attempt == attempt && item.how == how)
+        {
+            item.noted = true;
+        }
+    }
 }
 
 // The other members of the gang end with the first.
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -104,6 +104,7 @@
     std::int64_t started = 0;
     // When the run ends by itself; unset while a gang is not complete.
     std::optional<std::int64_t> ends;
+    std::int64_t work = 0;
     bool fails = false;
     std::optional<std::int64_t> stops;
 };
@@ -197,6 +198,9 @@
     int attempt = 0;
     std::string worker;
     std::string how;
+    bool noted = false;
+    // The lease of the worker has lapsed before the end was taken note of.
+    bool lapsed_since = false;
 };
 
 // Public functions are called on the main thread, but for `now` and `log` and
@@ -233,6 +237,8 @@
     void log(const std::string& text);
 
     // On the control thread.
+    void note(const std::string& task, int attempt, const std::string& how);
+    void lapse(const std::string& worker_id);
     void schedule_gang(const std::string& task, int attempt);
     void break_gang(const worker* by,
                     const std::string& task,
