--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -3,7 +3,9 @@
 #include "model/codec.hpp"
 
 #include <algorithm>
-#include <set>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
 #include <string>
 
 namespace review
@@ -79,6 +81,29 @@
     return site.wait_ready(start_limit);
 }
 
+// Kills of the leading process, the time until it starts again, and the time
+// for which the next one leads.
+constexpr int kills = 5;
+constexpr std::int64_t down_time = 500;
+constexpr std::int64_t time_as_leader = 1000;
+
+// Kills the leading process, starts it again and waits until another one leads.
+void kill_leader(world& site)
+{
+    const auto leader = site.leader();
+    const auto epoch = site.leader_epoch();
+    site.kill_node(leader);
+    site.sleep(down_time);
+    site.start_node(leader);
+    const auto until = now_ms() + contact;
+    while (site.leader_epoch() == epoch && now_ms() < until)
+    {
+        site.sleep(10);
+    }
+    site.log(site.leader() + " leads, fence number " +
+             std::to_string(site.leader_epoch()));
+}
+
 // Runs of the job that are at work.
 std::size_t running(world& site, const std::string& job)
 {
@@ -118,9 +143,6 @@
 
 verdict leader_kills(world& site, bool trouble)
 {
-    constexpr int kills = 5;
-    constexpr std::int64_t down_time = 500;
-    constexpr std::int64_t time_as_leader = 1000;
     if (!set_up(site))
     {
         return verdict::not_run;
@@ -144,21 +166,10 @@
     site.sleep(1000);
     for (int i = 0; i < kills; ++i)
     {
-        const auto leader = site.leader();
-        const auto epoch = site.leader_epoch();
         if (trouble)
         {
-            site.kill_node(leader);
-            site.sleep(down_time);
-            site.start_node(leader);
+            kill_leader(site);
         }
-        const auto until = now_ms() + contact;
-        while (trouble && site.leader_epoch() == epoch && now_ms() < until)
-        {
-            site.sleep(10);
-        }
-        site.log(site.leader() + " leads, fence number " +
-                 std::to_string(site.leader_epoch()));
         site.sleep(time_as_leader);
     }
     site.log("no disruption from here on");
@@ -313,4 +324,101 @@
     return starts_beyond > 0 ? verdict::broken : verdict::held;
 }
 
+verdict lasting_task(world& site, bool trouble)
+{
+    constexpr std::int64_t crash_delay = 500;
+    constexpr std::int64_t short_work = 900;
+    constexpr std::int64_t short_interval = 300;
+    // A task that lasts is to run again this long after its last run, and is
+    // lost if it does not for the time after that.
+    constexpr std::int64_t restart_limit = 6000;
+    constexpr std::int64_t lost_after = 3000;
+    constexpr std::int64_t watch_time = 40000;
+    if (!set_up(site))
+    {
+        return verdict::not_run;
+    }
+    // The leases that a new leader assumes have run out.
+    site.sleep(hold_max);
+    const std::string job = "00000000000000d1";
+    const auto task = job + ".0.0.0";
+    int number = 0;
+    const auto submit_short = [&site, &number]
+    {
+        char id[17];
+        std::snprintf(id, sizeof id, "%016x", 0xe00000 + ++number);
+        Json::Value body;
+        body["task_spec"] = std::to_string(short_work);
+        auto spread = step(3, short_work, 0);
+        spread["max_per_server"] = 1;
+        body["phases"].append(spread);
+        site.call("edge-2", "POST", queue + id, poplarramp::json_text(body));
+    };
+    const bool stream = std::getenv("NO_SHORT_TASKS") == nullptr;
+    for (int i = 0; stream && i < 10; ++i)
+    {
+        submit_short();
+        site.sleep(short_interval);
+    }
+    Json::Value body;
+    body["task_spec"] = "3600000";
+    auto lasting = step(1, 1000, 2);
+    lasting["long_running"] = true;
+    body["phases"].append(lasting);
+    const auto accepted = site.call(
+        "edge-1", "POST", queue + job, poplarramp::json_text(body));
+    if (accepted.status != 200)
+    {
+        return verdict::not_run;
+    }
+    std::string host;
+    for (int i = 0; i < 500 && host.empty(); ++i)
+    {
+        site.sleep(10);
+        site.sync(
+            [&]
+            {
+                for (const auto& [id, item] : site.workers)
+                {
+                    for (const auto& candidate : item->active)
+                    {
+                        host = candidate.task == task ? id : host;
+                    }
+                }
+            });
+    }
+    if (host.empty())
+    {
+        return verdict::not_run;
+    }
+    site.sleep(crash_delay);
+    if (trouble)
+    {
+        site.log("worker " + host + " crashes and is lost for good");
+        site.sync([&] { site.workers.at(host)->crash(); });
+    }
+    const auto crashed = now_ms();
+    auto running_until = crashed;
+    std::int64_t longest = 0;
+    while (now_ms() < crashed + watch_time)
+    {
+        if (stream)
+        {
+            submit_short();
+        }
+        site.sleep(short_interval);
+        const auto now = now_ms();
+        if (running(site, job) > 0)
+        {
+            running_until = now;
+        }
+        longest = std::max(longest, now - running_until);
+    }
+    site.log(task + " was not at work for " + std::to_string(longest) +
+             " ms on end; the job is shown as " +
+             site.call("edge-1", "GET", queue + job).body["state"].asString());
+    return longest >= restart_limit + lost_after ? verdict::broken
+                                                 : verdict::held;
+}
+
 } // namespace review
--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -20,6 +20,11 @@
 // The worker on which a gang fails is cut off for 3 s; the failure must count.
 verdict failed_gang(world& site, bool trouble);
 
+// A worker crashes for good just after a task that lasts has started there,
+// while short tasks start on all workers all the time. The task must be
+// restarted.
+verdict lasting_task(world& site, bool trouble);
+
 } // namespace review
 
 #endif
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -13,6 +13,7 @@
     const std::map<std::string, verdict (*)(review::world&, bool)> cases{
         {"leader-kills", review::leader_kills},
         {"failed-gang", review::failed_gang},
+        {"lasting-task", review::lasting_task},
     };
     constexpr int argument_count = 4;
     if (argc != argument_count || !cases.contains(argv[1]))
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -534,9 +534,26 @@
     }
 }
 
+// Its entry is removed after three intervals of silence.
+void worker::crash()
+{
+    cut = true;
+    gone = true;
+    active.clear();
+    next_beat_ = now_ms() + 3 * heartbeat;
+}
+
 void worker::tick()
 {
     const auto now = now_ms();
+    if (gone)
+    {
+        if (now >= next_beat_ && !world_.platform.value("servers", id).empty())
+        {
+            world_.platform.remove("servers", id);
+        }
+        return;
+    }
     if (clock() > lease_ && lease_ > 0)
     {
         world_.lapse(id);
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -125,6 +125,9 @@
     std::uint16_t port = 0;
     // No request is answered; what runs goes on.
     bool cut = false;
+    // The worker has crashed for good, and runs nothing.
+    bool gone = false;
+    void crash();
     std::vector<run> active;
     std::int64_t gpus = 8;
 
