Review case 9: tasks that last keep whole servers after two worker crashes

Cause: after two lost servers a task gets a server of its own until its run ends. The run of a task that lasts never ends, and the losses being forgotten after 30 s of work does not change its use of the server.

The case crashes the worker of four small lasting tasks twice for 4.5 s, then hands in a small job.

--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -421,4 +421,115 @@
                                                  : verdict::held;
 }
 
+verdict held_servers(world& site, bool trouble)
+{
+    constexpr int crashes = 2;
+    constexpr std::int64_t down_time = 4500;
+    constexpr std::size_t lasting_tasks = 4;
+    constexpr std::int64_t lost_after = 3000;
+    if (!set_up(site))
+    {
+        return verdict::not_run;
+    }
+    const std::string lasting_job = "00000000000000f1";
+    Json::Value body;
+    body["task_spec"] = "3600000";
+    auto lasting = step(1, 1000, 1);
+    lasting["long_running"] = true;
+    for (std::size_t i = 0; i < lasting_tasks; ++i)
+    {
+        body["phases"].append(lasting);
+    }
+    const auto accepted = site.call(
+        "edge-1", "POST", queue + lasting_job, poplarramp::json_text(body));
+    if (accepted.status != 200)
+    {
+        return verdict::not_run;
+    }
+    site.sleep(15000);
+    for (int i = 0; i < crashes; ++i)
+    {
+        std::string host;
+        site.sync(
+            [&]
+            {
+                std::size_t most = 0;
+                for (const auto& [id, item] : site.workers)
+                {
+                    if (item->active.size() > most)
+                    {
+                        most = item->active.size();
+                        host = id;
+                    }
+                }
+            });
+        if (host.empty())
+        {
+            return verdict::not_run;
+        }
+        if (trouble)
+        {
+            site.log("worker " + host + " crashes");
+            site.sync([&] { site.workers.at(host)->crash(); });
+        }
+        site.sleep(down_time);
+        if (trouble)
+        {
+            site.log("worker " + host + " is back");
+            site.sync([&] { site.workers.at(host)->restart(); });
+        }
+        for (int k = 0;
+             k < 100 && running(site, lasting_job) < lasting_tasks;
+             ++k)
+        {
+            site.sleep(100);
+        }
+        site.sleep(5000);
+    }
+    site.log("no disruption from here on");
+    site.sleep(contact);
+    const std::string job = "00000000000000f2";
+    body = Json::Value();
+    body["task_spec"] = "1000";
+    body["phases"].append(step(2, 1000, 1));
+    const bool job_accepted =
+        site.call(
+                "edge-2", "POST", queue + job, poplarramp::json_text(body))
+            .status == 200;
+    if (!job_accepted)
+    {
+        return verdict::not_run;
+    }
+    const auto sent = now_ms();
+    std::string state;
+    while (now_ms() < sent + 2 * finish && state != "completed")
+    {
+        site.sleep(500);
+        state = site.call("edge-2", "GET", queue + job).body["state"].asString();
+    }
+    std::size_t job_starts = 0;
+    std::int64_t free_gpus = 0;
+    site.sync(
+        [&]
+        {
+            for (const auto& item : site.starts)
+            {
+                job_starts += item.task.starts_with(job + ".") ? 1 : 0;
+            }
+            for (const auto& [id, item] : site.workers)
+            {
+                free_gpus +=
+                    item->gpus - static_cast<std::int64_t>(item->active.size());
+            }
+        });
+    const auto waited = now_ms() - sent;
+    site.log("job " + job + " is shown as " + state + " after " +
+             std::to_string(waited) + " ms; it was started " +
+             std::to_string(job_starts) + " times; " +
+             std::to_string(free_gpus) + " of 32 GPUs are free");
+    return state != "completed" && job_starts == 0 && waited >= lost_after
+               ? verdict::broken
+               : verdict::held;
+}
+
 } // namespace review
--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -25,6 +25,10 @@
 // restarted.
 verdict lasting_task(world& site, bool trouble);
 
+// The worker of four small tasks that last crashes twice. Other jobs must still
+// find room.
+verdict held_servers(world& site, bool trouble);
+
 } // namespace review
 
 #endif
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -14,6 +14,7 @@
         {"leader-kills", review::leader_kills},
         {"failed-gang", review::failed_gang},
         {"lasting-task", review::lasting_task},
+        {"held-servers", review::held_servers},
     };
     constexpr int argument_count = 4;
     if (argc != argument_count || !cases.contains(argv[1]))
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -543,6 +543,23 @@
     next_beat_ = now_ms() + 3 * heartbeat;
 }
 
+void worker::restart()
+{
+    cut = false;
+    gone = false;
+    active.clear();
+    born_ = unix_ms();
+    clock_start_ = now_ms() - 1;
+    lease_ = 0;
+    fence_ = 0;
+    seq_ = 0;
+    last_number_ = 0;
+    ended_.clear();
+    highest_.clear();
+    waiting_.clear();
+    beat();
+}
+
 void worker::tick()
 {
     const auto now = now_ms();
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -109,7 +109,8 @@
     std::optional<std::int64_t> stops;
 };
 
-// A worker; `restart` begins its next life under the same id.
+// A worker. It is one life at a time: after a restart it knows nothing of
+// before.
 class worker
 {
 public:
@@ -125,9 +126,11 @@
     std::uint16_t port = 0;
     // No request is answered; what runs goes on.
     bool cut = false;
-    // The worker has crashed for good, and runs nothing.
+    // The worker has crashed, and runs nothing.
     bool gone = false;
     void crash();
+    // Begins its next life under the same id.
+    void restart();
     std::vector<run> active;
     std::int64_t gpus = 8;
 
