--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -17,23 +17,22 @@
 // must still end.
 verdict leader_kills(world& site, bool trouble);
 
-// A worker crashes for good just after a task that lasts has started there,
-// while short tasks start on all workers all the time. The task must be
-// restarted.
-verdict lasting_task(world& site, bool trouble);
-
 // The worker of four small tasks that last crashes twice. Other jobs must still
 // find room.
 verdict held_servers(world& site, bool trouble);
 
-// A job of tasks that last takes all accelerators. A job within the guarantee of
-// another tenant must get its share.
+// A job of tasks that last takes all accelerators. A job within the guarantee
+// of another tenant must get its share.
 verdict lent_guarantee(world& site, bool trouble);
 
 // The four tasks of a job that lasts fail again and again. Other jobs must
 // still find room.
 verdict failing_tasks(world& site, bool trouble);
 
+// A client hands in many legal jobs that can never run. The processes must stay
+// within their memory and run other jobs.
+verdict flood(world& site, bool trouble);
+
 } // namespace review
 
 #endif
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -12,10 +12,10 @@
     using review::verdict;
     const std::map<std::string, verdict (*)(review::world&, bool)> cases{
         {"leader-kills", review::leader_kills},
-        {"lasting-task", review::lasting_task},
         {"held-servers", review::held_servers},
         {"lent-guarantee", review::lent_guarantee},
         {"failing-tasks", review::failing_tasks},
+        {"flood", review::flood},
     };
     constexpr int argument_count = 4;
     if (argc != argument_count || !cases.contains(argv[1]))
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -36,6 +36,7 @@
 constexpr std::int64_t gang_wait = 3000;
 constexpr std::int64_t heartbeat = 1500;
 constexpr std::int64_t stop_time = 50;
+constexpr int memory_mb = 260;
 
 std::int64_t now_ms();
 std::int64_t unix_ms();
@@ -84,7 +85,8 @@
 
     http_response transact(const Json::Value& body);
     http_response get(const std::map<std::string, std::string>& query) const;
-    std::optional<http_response> feed(const waiting_feed& call, bool last) const;
+    std::optional<http_response> feed(const waiting_feed& call,
+                                      bool last) const;
     void apply(const std::string& table,
                const std::string& key,
                const std::optional<std::string>& value,
@@ -180,6 +182,10 @@
     std::string settings;
     std::string log;
     pid_t pid = 0;
+    // When the process starts again after the platform has ended it.
+    std::int64_t restart_at = 0;
+    int memory_kills = 0;
+    std::int64_t most_mb = 0;
 };
 
 struct answer
@@ -239,6 +245,16 @@
                 const std::string& body = "",
                 const std::string& key = "key-1");
 
+    // Sends the request and does not wait for the answer; `answered_calls`
+    // counts the answers by status.
+    void send(const std::string& node_name,
+              const std::string& path,
+              const std::string& body);
+    std::map<int, int> answered_calls();
+    // Ends each process that uses more memory than its machine allows, and
+    // starts those again that ended some time ago, as the platform does.
+    void enforce_memory();
+
     // Seconds since the start.
     double now() const;
     void log(const std::string& text);
@@ -258,6 +274,7 @@
     std::vector<end_record> ends;
     // Tasks of a gang, by job.
     std::map<std::string, int> gang_sizes;
+    std::map<std::string, node> nodes;
 
 private:
     void tick();
@@ -273,7 +290,7 @@
     std::unique_ptr<http_server> store_server_;
     std::vector<std::unique_ptr<http_server>> worker_servers_;
     std::unique_ptr<poplarramp::http_client> client_;
-    std::map<std::string, node> nodes_;
+    std::map<int, int> answered_;
     std::vector<std::thread> threads_;
     std::function<void()> tick_loop_;
 };
