--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -29,6 +29,10 @@
 // find room.
 verdict held_servers(world& site, bool trouble);
 
+// A job of tasks that last takes all accelerators. A job within the guarantee of
+// another tenant must get its share.
+verdict lent_guarantee(world& site, bool trouble);
+
 } // namespace review
 
 #endif
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -15,6 +15,7 @@
         {"failed-gang", review::failed_gang},
         {"lasting-task", review::lasting_task},
         {"held-servers", review::held_servers},
+        {"lent-guarantee", review::lent_guarantee},
     };
     constexpr int argument_count = 4;
     if (argc != argument_count || !cases.contains(argv[1]))
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -236,7 +236,8 @@
     answer call(const std::string& node_name,
                 const std::string& method,
                 const std::string& path,
-                const std::string& body = "");
+                const std::string& body = "",
+                const std::string& key = "key-1");
 
     // Seconds since the start.
     double now() const;
