--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -20,7 +20,7 @@
 // A task whose turn has come must be at work again within this time.
 constexpr std::int64_t lost_after = 3000;
 
-const std::string queue = "/work/";
+const std::string queue = "/batch/";
 const std::string urgent_queue = "/urgent/";
 
 // Accelerators that belong to the first tenant; half of the workers' 32.
