A job that goes on ending leaders after its quarantines is out for good

Cause: the retry of a quarantined job had no end. Its ends that servers list are not acknowledged meanwhile, so that a job that does end leaders would hold up those of other jobs on its servers without a bound. Change: after six leaders (three, and one for each retry after 60, 120 and 240 s) the job is quarantined for good, as before the retries. Jobs without stored progress are left out of the leader row's list of jobs on probation: they are in question in any case, and more than 64 of them made all jobs so.

--- a/src/domain/dispatcher_begin.cpp
+++ b/src/domain/dispatcher_begin.cpp
@@ -158,9 +158,13 @@
 
 void dispatcher::quarantine_for_a_time(const std::string& job, int ends)
 {
+    end_quarantine(job);
+    if (ends >= ends_before_lasting_quarantine)
+    {
+        quarantine(job, quarantine_reason);
+        return;
+    }
     auto jobs = leader_.timed_quarantines();
-    std::erase_if(
-        jobs, [&job](const timed_quarantine& item) { return item.job == job; });
     const auto time = quarantine_after(ends);
     jobs.push_back({job, ends, hooks_.unix_now() + time.count()});
     leader_.set_timed_quarantines(std::move(jobs));
@@ -244,7 +248,7 @@
         {
             continue;
         }
-        progress_texts_.insert_or_assign(id, std::move(unread.mapped()));
+        progress_texts_.insert(std::move(unread));
         restore_job(*record->job);
         progress_texts_.erase(id);
         record_rate(*record->job);
@@ -299,7 +303,17 @@
     {
         probation_.begin(id, now);
     }
-    leader_.set_probation(probation_.begun());
+    auto listed = probation_.begun();
+    // Jobs without rows are in question in any case.
+    std::erase_if(listed.jobs,
+                  [this](const std::string& id)
+                  {
+                      const auto job = open_jobs_.find(id);
+                      return !stored_rows_.contains(id) &&
+                             (job == open_jobs_.end() ||
+                              job->second.placed_runs().empty());
+                  });
+    leader_.set_probation(std::move(listed));
     if (bisection_)
     {
         bisection_->on_planned(now);
--- a/tests/domain_leader_kills_test.cpp
+++ b/tests/domain_leader_kills_test.cpp
@@ -1,8 +1,6 @@
 // Leaders that are ended for causes of their own, and jobs that end leaders.
 #include "domain_simulation.hpp"
 
-#include "domain/job_probation.hpp"
-
 #include <algorithm>
 #include <random>
 #include <string>
@@ -17,6 +15,7 @@
 {
 
 constexpr milliseconds restart_time{500};
+constexpr int poison_tasks = 900;
 
 step_job_spec two_steps(int tasks)
 {
@@ -40,22 +39,22 @@
     return count;
 }
 
-} // namespace
-
-TEST_GROUP(domain_leader_kills){void set_up(domain_simulation & sim,
-                                            int servers = 3){
-    for (int i = 0; i < servers; ++i){sim.add_server("s" + std::to_string(i));
-}
-CHECK(sim.run_until(milliseconds(5000),
-                    [&sim]
-                    {
-                        return sim.leader() != nullptr &&
-                               std::all_of(sim.vms.begin(),
-                                           sim.vms.end(),
-                                           [](const auto& vm)
-                                           { return vm->api->ready(); });
-                    }));
-sim.run(milliseconds(3000));
+void set_up(domain_simulation& sim, int servers = 3)
+{
+    for (int i = 0; i < servers; ++i)
+    {
+        sim.add_server("s" + std::to_string(i));
+    }
+    CHECK(sim.run_until(milliseconds(5000),
+                        [&sim]
+                        {
+                            return sim.leader() != nullptr &&
+                                   std::all_of(sim.vms.begin(),
+                                               sim.vms.end(),
+                                               [](const auto& vm)
+                                               { return vm->api->ready(); });
+                        }));
+    sim.run(milliseconds(3000));
 }
 
 // Ends the leading process, starts it again, and waits for the next leader.
@@ -72,8 +71,39 @@
                         [&sim] { return sim.leader() != nullptr; }));
 }
 
+// A job under which each leader ends once it holds the state of its tasks.
+void submit_poison(domain_simulation& sim)
+{
+    sim.task_times["poison"] = milliseconds(500);
+    auto spec = one_step(poison_tasks, 0);
+    spec.steps[0].need = {10, 10, 0};
+    sim.submit(0, "poison", "q2", spec);
+}
+
+// Returns how many leaders have ended.
+int run_with_poison(domain_simulation& sim, milliseconds time)
+{
+    int ends = 0;
+    for (const auto until = sim.now + time.count(); sim.now < until;)
+    {
+        sim.run(milliseconds(5));
+        auto* leader = sim.leader();
+        if (leader != nullptr && leader->scheduler &&
+            leader->scheduler->open_tasks() >= poison_tasks)
+        {
+            ++ends;
+            leader->kill();
+            sim.at(sim.now + restart_time.count(),
+                   [leader] { leader->start(); });
+        }
+    }
+    return ends;
+}
+
 std::size_t quarantined(domain_simulation& sim)
 {
+    CHECK(sim.run_until(milliseconds(6000),
+                        [&sim] { return sim.leader() != nullptr; }));
     return sim.leader()->leader->timed_quarantines().size() +
            sim.leader()->leader->quarantined_jobs().size();
 }
@@ -85,8 +115,10 @@
         FAIL_TEST(text.c_str());
     }
 }
-}
-;
+
+} // namespace
+
+TEST_GROUP(domain_leader_kills){};
 
 // Guards against kills of the leading process after which a healthy job that is
 // at work is taken for their cause: its ends are discarded, and its next step
@@ -223,36 +255,14 @@
 // such as those of a newer build, it runs.
 TEST(domain_leader_kills, quarantined_job_is_begun_again)
 {
-    constexpr int poison_tasks = 900;
     domain_simulation sim(1, 3);
     set_up(sim);
-    sim.task_times["poison"] = milliseconds(500);
-    auto spec = one_step(poison_tasks, 0);
-    spec.steps[0].need = {10, 10, 0};
-    sim.submit(0, "poison", "q2", spec);
-    int ends = 0;
-    const auto run_until_quarantined = [&sim, &ends](std::int64_t until)
-    {
-        while (sim.now < until)
-        {
-            sim.run(milliseconds(5));
-            auto* leader = sim.leader();
-            if (leader != nullptr && leader->scheduler &&
-                leader->scheduler->open_tasks() >= poison_tasks)
-            {
-                ++ends;
-                leader->kill();
-                sim.at(sim.now + restart_time.count(),
-                       [leader] { leader->start(); });
-            }
-        }
-    };
-    run_until_quarantined(sim.now + 40'000);
+    submit_poison(sim);
+    const int first_ends = run_with_poison(sim, milliseconds(40'000));
     CHECK_EQUAL(1U, quarantined(sim));
-    const int first_ends = ends;
     // Begun again after 60 s and then after 120 s more.
-    run_until_quarantined(sim.now + 80'000);
-    CHECK_EQUAL(first_ends + 1, ends);
+    CHECK_EQUAL(1, run_with_poison(sim, milliseconds(80'000)));
+    CHECK(first_ends <= 8);
     CHECK(!sim.started_jobs.contains("poison"));
     CHECK(sim.run_until(
         milliseconds(120'000),
@@ -260,3 +270,31 @@
     CHECK_EQUAL(0U, quarantined(sim));
     check_no_violations(sim);
 }
+
+// Guards against a job that ends leaders when it is cancelled, since its rows
+// are read, and against one that ends them for good.
+TEST(domain_leader_kills, quarantined_job_ends_no_more_leaders)
+{
+    for (const bool cancelled : {true, false})
+    {
+        domain_simulation sim(2, 3);
+        set_up(sim);
+        submit_poison(sim);
+        run_with_poison(sim, milliseconds(40'000));
+        if (cancelled)
+        {
+            sim.cancel(sim.vms[0]->up ? 0 : 1, "poison", "q2");
+            CHECK(sim.run_until(milliseconds(3000),
+                                [&sim] {
+                                    return sim.state("poison") ==
+                                           step_job_state::cancelled;
+                                }));
+        }
+        const int ends = run_with_poison(sim, milliseconds(480'000));
+        CHECK_EQUAL(cancelled ? 0 : 3, ends);
+        CHECK_EQUAL(cancelled ? 0U : 1U, quarantined(sim));
+        kill_leader(sim);
+        CHECK_EQUAL(0, run_with_poison(sim, milliseconds(5000)));
+        check_no_violations(sim);
+    }
+}
