--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -345,7 +345,7 @@
 
 void soak_run::inject_fault()
 {
-    constexpr std::array<void (soak_run::*)(), 12> kinds{
+    constexpr std::array<void (soak_run::*)(), 13> kinds{
         &soak_run::kill_vm,
         &soak_run::stop_vm,
         &soak_run::pause_vm,
@@ -358,6 +358,7 @@
         &soak_run::change_config,
         &soak_run::compact_history,
         &soak_run::kill_all_vms,
+        &soak_run::kill_leaders,
     };
     (this->*kinds[static_cast<std::size_t>(pick(kinds.size()))])();
 }
@@ -499,9 +500,33 @@
     }
 }
 
+// Kills the leading process several times, soon after each takeover.
+void soak_run::kill_leaders()
+{
+    constexpr int kills = 5;
+    std::int64_t delay = 0;
+    for (int i = 0; i < kills; ++i)
+    {
+        at(delay,
+           [this]
+           {
+               for (auto& vm : vms_)
+               {
+                   if (!faults_ended_ && vm.process->name() == site_.leader())
+                   {
+                       mark_affected(vm, restart_delay_ms);
+                       vm.process->signal(SIGKILL);
+                   }
+               }
+           });
+        delay += 1500 + pick(1500);
+    }
+}
+
 // Ends all faults, then waits until the accepted jobs have ended.
 void soak_run::end_faults()
 {
+    faults_ended_ = true;
     site_.sim().store_down = false;
     for (auto& [id, link] : site_.links())
     {
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -104,6 +104,7 @@
     void change_config();
     void compact_history();
     void kill_all_vms();
+    void kill_leaders();
 
     bool all_ended() const;
     void check_end();
@@ -121,6 +122,7 @@
     std::vector<std::string> violations_;
     std::int64_t store_affected_until_ = 0;
     bool restarts_enabled_ = true;
+    bool faults_ended_ = false;
 };
 
 } // namespace poplarramp::soak
