--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -199,11 +199,14 @@
     void start_bisection();
     void advance_bisection();
     void on_bisection_done();
+    // To be called after each plan, before the commit of what it has begun.
     void record_begun_jobs();
+    // Null if the job is not quarantined for a time.
     const timed_quarantine* quarantine_of(const std::string& job) const;
     void quarantine_for_a_time(const std::string& job, int ends);
     void end_quarantine(const std::string& job);
     void retry_quarantined_job();
+    // Keeps the rows of a job that may not begin, and reads them later.
     void leave_unread(const step_job& job);
     void read_begun_jobs();
     void release_held_ends();
--- a/src/domain/dispatcher_begin.cpp
+++ b/src/domain/dispatcher_begin.cpp
@@ -1,4 +1,5 @@
-// Jobs that may end leaders: how a leader begins them after others have ended.
+// Jobs that may end leaders: how a leader begins them after other leaders have
+// ended early, and which jobs it keeps out for a time.
 #include "base/log.hpp"
 #include "domain/dispatcher.hpp"
 
@@ -11,8 +12,8 @@
 namespace
 {
 
-// After the last leader that ended under a job; doubled with each further one.
-// A leader that ends costs all callers about 2 s.
+// Doubled with each further leader that ends under the job, since that costs
+// all callers a takeover.
 constexpr milliseconds first_quarantine{60'000};
 
 // Ends of runs of a quarantined job are not acknowledged meanwhile, so that it
@@ -283,7 +284,6 @@
     release_held_ends();
 }
 
-// To be called after each plan, before the commit of what it has begun.
 void dispatcher::record_begun_jobs()
 {
     const auto now = hooks_.now();
--- a/src/domain/job_bisection.hpp
+++ b/src/domain/job_bisection.hpp
@@ -23,8 +23,9 @@
 // A leader is careful after this many leaders in a row that ended early.
 constexpr int short_terms_before_bisection = 2;
 
-// A leader that ends for another cause does so at the beginning of a job in
-// question in one of five cases or less: a job is at fault after the third.
+// A job is at fault after this many leaders that ended just after they had
+// begun it alone. One that is ended at a fixed time after its election, for a
+// cause of its own, meets that moment in one of four cases at most.
 constexpr int ends_of_faulty_job = 3;
 
 // Jobs sort by the number of their tasks, then by id. Thread safe.
@@ -38,7 +39,7 @@
     job_bisection(bisection_group failed,
                   std::function<std::uint64_t()> random);
 
-    // Begins one job again under which leaders have ended before.
+    // Begins one job again, under which `ends` leaders have ended before.
     static job_bisection
     retry(const step_job& job, int ends, std::function<std::uint64_t()> random);
 
@@ -60,7 +61,7 @@
         return note_;
     }
 
-    // True for each job that was not added.
+    // Whether the job may begin now; always true for one that was not added.
     bool may_begin(const std::string& job) const
     {
         return !waiting_.contains(job);
