--- a/review/standin-3/deployment.cpp
+++ b/review/standin-3/deployment.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-constexpr int max_attempts = 3;
+constexpr std::array<int, 3> max_attempts{4, 4, 3};
 constexpr int config_version = 7;
 constexpr std::int64_t start_timeout_ms = 15000;
 const std::string api_key = "d4a3hwrr6x73d3zji9n7";
@@ -68,7 +68,7 @@
         route["goal_ms"] = 1500;
         route["priority"] = static_cast<int>(priority);
         route["backend"] = "carve-svc";
-        route["max_attempts"] = max_attempts;
+        route["max_attempts"] = max_attempts[priority];
         route["stretch"] = 3.0;
         config["routes"].append(route);
     }
@@ -190,6 +190,12 @@
     record(item.name + " has ended on signal " + std::to_string(signal));
 }
 
+void deployment::restart(vm& item)
+{
+    spawn(item);
+    record(item.name + " has been started again");
+}
+
 Json::Value deployment::leader_row()
 {
     return parse_json_text(platform_.get("leader", "scheduler").value_or(""));
@@ -223,7 +229,7 @@
         request.headers["Content-Type"] = "application/json";
         request.body = to_json_text(body);
     }
-    const auto reply =
+    auto reply =
         call(at.callers, request, timeout_ms).value_or(http_response{});
     record(method + " " + job + " at " + at.name + ": " +
            (reply.status == 0 ? "no answer" : std::to_string(reply.status)) +
--- a/review/standin-3/deployment.hpp
+++ b/review/standin-3/deployment.hpp
@@ -41,7 +41,7 @@
 };
 
 // Ends all processes that it has started. Public functions are thread safe,
-// but `start` and `end`.
+// but `start`, `end` and `restart`.
 class deployment
 {
 public:
@@ -71,6 +71,8 @@
     // one leads.
     bool start();
     void end(vm& item, int signal);
+    // Starts a process that has ended again, with its settings.
+    void restart(vm& item);
 
     // Name of the process that leads, from the row that it writes.
     std::string leader();
--- a/review/standin-3/fleet.cpp
+++ b/review/standin-3/fleet.cpp
@@ -78,10 +78,10 @@
     register_worker(added);
 }
 
-void fleet::define(const std::string& job, const job_behaviour& behaviour)
+void fleet::define(const std::string& name, const job_behaviour& behaviour)
 {
     const std::lock_guard lock(mutex_);
-    jobs_[job] = behaviour;
+    jobs_[name] = behaviour;
 }
 
 void fleet::cut(const std::string& id, bool is_cut)
@@ -329,7 +329,10 @@
 const job_behaviour& fleet::behaviour_of(const std::string& task) const
 {
     static const job_behaviour usual;
-    const auto found = jobs_.find(task.substr(0, task.find('.')));
+    const auto of_step = jobs_.find(step_of(task));
+    const auto found = of_step != jobs_.end()
+                           ? of_step
+                           : jobs_.find(task.substr(0, task.find('.')));
     return found == jobs_.end() ? usual : found->second;
 }
 
@@ -433,7 +436,7 @@
         return;
     }
     const auto worked = now - item.working_since_ms;
-    if (index_of(task) == behaviour.failing_index &&
+    if ((behaviour.all_fail || index_of(task) == behaviour.failing_index) &&
         worked >= behaviour.fails_after_ms)
     {
         end_gang(task, item.attempt, "failed", "broken");
@@ -478,7 +481,13 @@
     }
 }
 
-void fleet::register_worker(worker& at)
+Json::Value fleet::entry_of(const std::string& id)
+{
+    const std::lock_guard lock(mutex_);
+    return make_entry(*workers_.at(id));
+}
+
+Json::Value fleet::make_entry(worker& at) const
 {
     Json::Value row;
     row["backend"] = "carve-svc";
@@ -496,7 +505,12 @@
     row["clock_ms"] = static_cast<Json::Int64>(clock_of(at));
     row["born"] = static_cast<Json::Int64>(at.born);
     row["seq"] = static_cast<Json::UInt64>(++at.seq);
-    platform_.put("servers", at.settings.id, row);
+    return row;
+}
+
+void fleet::register_worker(worker& at)
+{
+    platform_.put("servers", at.settings.id, make_entry(at));
 }
 
 void fleet::note(run_event event)
@@ -520,10 +534,15 @@
                 next_heartbeat += heartbeat_ms;
                 for (auto& [id, item] : workers_)
                 {
+                    // The entry of a silent worker stands for three heartbeats.
                     if (!item->lost)
                     {
                         register_worker(*item);
                     }
+                    else if (++item->missed_heartbeats == 3)
+                    {
+                        platform_.erase("servers", id);
+                    }
                 }
             }
         }
--- a/review/standin-3/fleet.hpp
+++ b/review/standin-3/fleet.hpp
@@ -32,6 +32,7 @@
     // The task with this index fails after `fails_after_ms` of work; -1: none.
     int failing_index = -1;
     std::int64_t fails_after_ms = 0;
+    bool all_fail = false;
 };
 
 // One observed event of a run.
@@ -76,7 +77,8 @@
     fleet& operator=(const fleet&) = delete;
 
     void add(const worker_settings& settings);
-    void define(const std::string& job, const job_behaviour& behaviour);
+    // `name` is the id of a job, or ID.K.STEP for one of its steps.
+    void define(const std::string& name, const job_behaviour& behaviour);
 
     // While a worker is cut off, no call to it arrives and no reply leaves it;
     // it works on, and reaches the platform.
@@ -84,6 +86,9 @@
     // The worker crashes and does not come back.
     void lose(const std::string& worker);
 
+    // The entry that a worker writes.
+    Json::Value entry_of(const std::string& worker);
+
     std::vector<run_event> events();
     // Worker on which the task works or waits; empty if there is none.
     std::string worker_of(const std::string& task);
@@ -118,6 +123,7 @@
         bool lease_live = false;
         bool cut = false;
         bool lost = false;
+        int missed_heartbeats = 0;
         std::uint64_t seq = 0;
         std::uint64_t next_end = 1;
         std::map<std::string, run> runs;
@@ -149,6 +155,7 @@
     void advance();
     void advance_run(worker& at, const std::string& task);
     void begin_gang(const std::string& task, int attempt);
+    Json::Value make_entry(worker& at) const;
     void register_worker(worker& at);
     void note(run_event event);
     void work();
--- a/review/standin-3/http.cpp
+++ b/review/standin-3/http.cpp
@@ -189,7 +189,7 @@
     auto text = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const auto& [name, value] : request.headers)
     {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     text += "Content-Length: " + std::to_string(request.body.size()) +
             "\r\nConnection: close\r\n\r\n";
