review: order the cases, drop what an earlier one shows

The gang's failure behind a cut is case 15 now. The failing job that closes idle workers is dropped: review/7 shows the same code.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -6,7 +6,7 @@
 cd "$here/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout --signal=KILL 115 target/review-3/standin failing-job-idles-fleet \
+timeout --signal=KILL 115 target/review-3/standin gang-fails-behind-cut \
     target/poplarramp "$folder" "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] && exit "$status"
--- a/review/standin-3/deployment.cpp
+++ b/review/standin-3/deployment.cpp
@@ -190,6 +190,21 @@
     record(item.name + " has ended on signal " + std::to_string(signal));
 }
 
+bool deployment::has_ended(vm& item)
+{
+    int status = 0;
+    if (item.pid <= 0 || waitpid(item.pid, &status, WNOHANG) != item.pid)
+    {
+        return false;
+    }
+    item.pid = -1;
+    record(item.name + " has ended by itself, " +
+           (WIFSIGNALED(status)
+                ? "by signal " + std::to_string(WTERMSIG(status))
+                : "with code " + std::to_string(WEXITSTATUS(status))));
+    return true;
+}
+
 void deployment::restart(vm& item)
 {
     spawn(item);
--- a/review/standin-3/deployment.hpp
+++ b/review/standin-3/deployment.hpp
@@ -41,7 +41,8 @@
 };
 
 // Ends all processes that it has started. Public functions are thread safe,
-// but `start`, `end` and `restart`.
+// but those that
+// start, end or look at a process.
 class deployment
 {
 public:
@@ -73,6 +74,8 @@
     void end(vm& item, int signal);
     // Starts a process that has ended again, with its settings.
     void restart(vm& item);
+    // True if the process has ended by itself since the last call.
+    bool has_ended(vm& item);
 
     // Name of the process that leads, from the row that it writes.
     std::string leader();
