Move the codec of steps to a file of its own

No change of behaviour: the text of a row is the same (job_progress, round_trip_through_row, and domain_job_rows pass).

--- a/src/domain/job_progress.cpp
+++ b/src/domain/job_progress.cpp
@@ -1,5 +1,6 @@
 #include "domain/job_progress.hpp"
 
+#include "domain/progress_codec.hpp"
 #include "model/codec.hpp"
 #include "model/json_reader.hpp"
 
@@ -17,160 +18,12 @@
 // a transaction of 1 MB. The usual ones have 16 characters.
 constexpr std::size_t max_checkpoint_bytes = 512;
 
-// Elements of the JSON array that stores a task, in order. An empty server with
-// incarnation 0 means that the task is not placed.
-enum class task_element : Json::ArrayIndex
-{
-    index,
-    attempt,
-    failures,
-    server,
-    incarnation,
-    checkpoint,
-    // Not stored.
-    field_count,
-};
-
-const Json::Value& element(const Json::Value& fields, task_element position)
-{
-    return fields[static_cast<Json::ArrayIndex>(position)];
-}
-
-Json::Value task_to_json(int index, const task_progress& task)
-{
-    Json::Value fields(Json::arrayValue);
-    fields.append(index);
-    fields.append(task.attempt);
-    fields.append(task.failures);
-    fields.append(task.server ? task.server->id : "");
-    fields.append(
-        static_cast<Json::Int64>(task.server ? task.server->incarnation : 0));
-    fields.append(task.checkpoint);
-    return fields;
-}
-
-bool is_stored_task(const Json::Value& fields, std::size_t task_count)
-{
-    return fields.isArray() &&
-           fields.size() ==
-               static_cast<Json::ArrayIndex>(task_element::field_count) &&
-           element(fields, task_element::index).isUInt() &&
-           element(fields, task_element::index).asUInt() < task_count &&
-           element(fields, task_element::attempt).isInt() &&
-           element(fields, task_element::failures).isInt() &&
-           element(fields, task_element::server).isString() &&
-           element(fields, task_element::incarnation).isInt64() &&
-           element(fields, task_element::checkpoint).isString();
-}
-
-// Elements of the JSON array that stores a loss, in order.
-enum class loss_element : Json::ArrayIndex
-{
-    task,
-    server,
-    incarnation,
-    role,
-    alone,
-    // Not stored.
-    field_count,
-};
-
-const Json::Value& element(const Json::Value& fields, loss_element position)
-{
-    return fields[static_cast<Json::ArrayIndex>(position)];
-}
-
-Json::Value loss_to_json(int task, const server_loss& loss)
-{
-    Json::Value fields(Json::arrayValue);
-    fields.append(task);
-    fields.append(loss.server.id);
-    fields.append(static_cast<Json::Int64>(loss.server.incarnation));
-    fields.append(static_cast<int>(loss.role));
-    fields.append(loss.alone);
-    return fields;
-}
-
-// `last` is the value with the highest number; the lowest is 0.
-template <class Enum>
-bool is_stored_enum(const Json::Value& number, Enum last)
-{
-    return number.isInt() && number.asInt() >= 0 &&
-           number.asInt() <= static_cast<int>(last);
-}
-
-bool is_stored_loss(const Json::Value& fields, std::size_t task_count)
-{
-    return fields.isArray() &&
-           fields.size() ==
-               static_cast<Json::ArrayIndex>(loss_element::field_count) &&
-           element(fields, loss_element::task).isUInt() &&
-           element(fields, loss_element::task).asUInt() < task_count &&
-           element(fields, loss_element::server).isString() &&
-           element(fields, loss_element::incarnation).isInt64() &&
-           is_stored_enum(element(fields, loss_element::role),
-                          loss_role::at_start) &&
-           element(fields, loss_element::alone).isBool();
-}
-
-// A row [task, use] for each run that keeps others off its server.
-bool is_stored_use(const Json::Value& fields, std::size_t task_count)
-{
-    return fields.isArray() && fields.size() == 2 && fields[0].isUInt() &&
-           fields[0].asUInt() < task_count &&
-           is_stored_enum(fields[1], server_use::exclusive);
-}
-
-// Done tasks are stored in a string with one character per task. The list of
-// tasks leaves out these and the tasks without an attempt.
-constexpr char done_mark = 'x';
-constexpr char open_mark = '.';
-
-Json::Value step_to_json(const step_progress& step)
-{
-    Json::Value json(Json::objectValue);
-    std::string done;
-    bool any_done = false;
-    for (std::size_t i = 0; i < step.tasks.size(); ++i)
-    {
-        const auto& task = step.tasks[i];
-        done += task.done ? done_mark : open_mark;
-        any_done = any_done || task.done;
-        if (!task.done && task.attempt > 0)
-        {
-            const auto index = static_cast<int>(i);
-            json["tasks"].append(task_to_json(index, task));
-            for (const auto& loss : task.crashes.losses())
-            {
-                json["losses"].append(loss_to_json(index, loss));
-            }
-            if (task.server && task.use != server_use::shared)
-            {
-                Json::Value use(Json::arrayValue);
-                use.append(index);
-                use.append(static_cast<int>(task.use));
-                json["uses"].append(use);
-            }
-        }
-    }
-    if (any_done)
-    {
-        json["done"] = done;
-    }
-    if (step.gang_failures > 0)
-    {
-        json["gang_failures"] = step.gang_failures;
-        json["failed_attempt"] = step.last_failed_attempt;
-    }
-    return json;
-}
-
 Json::Value repetition_to_json(const repetition_progress& repetition)
 {
     Json::Value steps(Json::arrayValue);
     for (const auto& step : repetition.steps)
     {
-        steps.append(step_to_json(step));
+        steps.append(to_json(step));
     }
     return steps;
 }
@@ -826,69 +679,11 @@
     auto& repetition = open_repetition(number);
     for (Json::ArrayIndex i = 0; i < json.size(); ++i)
     {
-        if (!json[i].isObject() || !read_step(repetition.steps[i], json[i]))
-        {
-            return false;
-        }
-    }
-    return true;
-}
-
-bool job_progress::read_step(step_progress& step, const Json::Value& json)
-{
-    failure why;
-    std::string done;
-    json_reader reader(json, "", why);
-    reader.read("done", done)
-        .read("gang_failures", step.gang_failures)
-        .read("failed_attempt", step.last_failed_attempt);
-    if (!reader.good() || (!done.empty() && done.size() != step.tasks.size()))
-    {
-        return false;
-    }
-    for (std::size_t i = 0; i < done.size(); ++i)
-    {
-        step.tasks[i].done = done[i] == done_mark;
-    }
-    for (const auto& fields : json["tasks"])
-    {
-        if (!is_stored_task(fields, step.tasks.size()))
-        {
-            return false;
-        }
-        auto& task = step.tasks[element(fields, task_element::index).asUInt()];
-        task.attempt = element(fields, task_element::attempt).asInt();
-        task.failures = element(fields, task_element::failures).asInt();
-        task.checkpoint = element(fields, task_element::checkpoint).asString();
-        const auto server = element(fields, task_element::server).asString();
-        if (!server.empty())
-        {
-            task.server = server_incarnation{
-                server, element(fields, task_element::incarnation).asInt64()};
-        }
-    }
-    for (const auto& fields : json["losses"])
-    {
-        if (!is_stored_loss(fields, step.tasks.size()))
-        {
-            return false;
-        }
-        may_have_losses_ = true;
-        step.tasks[element(fields, loss_element::task).asUInt()].crashes.add(
-            {{element(fields, loss_element::server).asString(),
-              element(fields, loss_element::incarnation).asInt64()},
-             static_cast<loss_role>(
-                 element(fields, loss_element::role).asInt()),
-             element(fields, loss_element::alone).asBool()});
-    }
-    for (const auto& fields : json["uses"])
-    {
-        if (!is_stored_use(fields, step.tasks.size()))
+        if (!json[i].isObject() || !read_step(json[i], repetition.steps[i]))
         {
             return false;
         }
-        step.tasks[fields[0].asUInt()].use =
-            static_cast<server_use>(fields[1].asInt());
+        may_have_losses_ = may_have_losses_ || has_losses(json[i]);
     }
     return true;
 }
--- a/src/domain/job_progress.hpp
+++ b/src/domain/job_progress.hpp
@@ -252,7 +252,6 @@
     repetition_progress& open_repetition(int repetition);
     bool read_repetition(int number, const Json::Value& json);
     bool read_open_repetitions(const Json::Value& json, failure& why);
-    bool read_step(step_progress& step, const Json::Value& json);
 
     step_job job_;
     std::int64_t deadline_unix_ms_ = 0;
