--- a/src/domain/dispatcher_orders.cpp
+++ b/src/domain/dispatcher_orders.cpp
@@ -59,6 +59,15 @@
     {
         return;
     }
+    const auto* task = job->second.task_of_placed(run);
+    if (task == nullptr)
+    {
+        // Another member has ended the gang, or an older run the task. This run
+        // may be at work all the same, since an order had no reply.
+        hooks_.count("starts_not_repeated", 1);
+        request_stop(id, run, "its task has ended");
+        return;
+    }
     auto& server = registry_.at(id);
     // Time passes while the starts of a commit are sent, so that this may have
     // become false since the commit. Nothing else ends the phase of a run that
@@ -90,10 +99,8 @@
                  id,
                  "order " + std::to_string(run_record->starts_sent));
     hooks_.count("start_orders", 1);
-    start_order order{run,
-                      job->second.job().spec.payload,
-                      *lease,
-                      job->second.task(run.task)->checkpoint};
+    start_order order{
+        run, job->second.job().spec.payload, *lease, task->checkpoint};
     hooks_.servers.start(target_of(server),
                          std::move(order),
                          now + order_timeout,
--- a/src/domain/job_progress.cpp
+++ b/src/domain/job_progress.cpp
@@ -467,6 +467,14 @@
     return name.index >= 0 && index < tasks.size() ? &tasks[index] : nullptr;
 }
 
+const task_progress* job_progress::task_of_placed(const run_id& run) const
+{
+    const auto* found = task(run.task);
+    return found != nullptr && found->server && found->attempt == run.attempt
+               ? found
+               : nullptr;
+}
+
 step_progress& job_progress::step_of(const task_name& name)
 {
     return repetitions_.at(name.repetition)
--- a/src/domain/job_progress.hpp
+++ b/src/domain/job_progress.hpp
@@ -178,8 +178,12 @@
     // Records the checkpoint of a task; the tasks of a gang share one.
     void save_checkpoint(const run_id& run, const std::string& checkpoint);
 
+    // Null if the task's repetition has ended or was not begun.
     const task_progress* task(const task_name& name) const;
 
+    // The task, if this is the run that is placed for it; null otherwise.
+    const task_progress* task_of_placed(const run_id& run) const;
+
     // Runs that may exist, with their servers.
     std::vector<std::pair<run_id, server_incarnation>> placed_runs() const;
     // The same for one repetition.
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -335,9 +335,8 @@
     {
         const auto found = jobs_.find(run.task.job);
         const auto* job = found == jobs_.end() ? nullptr : found->second;
-        const auto* task = job == nullptr ? nullptr : job->task(run.task);
-        const bool is_current =
-            task != nullptr && task->server && task->attempt == run.attempt;
+        const auto* task = job == nullptr ? nullptr : job->task_of_placed(run);
+        const bool is_current = task != nullptr;
         const auto index = group_index(is_current ? job : nullptr, run, record);
         auto& group = view_.input.groups[index];
         view_.group_runs[index].push_back({&server.registration.id, &run});
--- a/tests/domain_simulation.cpp
+++ b/tests/domain_simulation.cpp
@@ -174,6 +174,7 @@
                                const server_target& to,
                                const start_order& order)
 {
+    ++sim.start_orders;
     order_reply reply;
     reply.clock = clock(sim.now);
     if (fenced(to))
@@ -710,9 +711,14 @@
     const auto id = found == sim.servers.end() ? "" : found->first;
     const auto incarnation =
         found == sim.servers.end() ? 0 : found->second.entry.incarnation;
+    auto link = vm.server_link;
+    if (found != sim.servers.end() && found->second.mute)
+    {
+        link.reply_loss_rate = 1;
+    }
     send_over_link<Reply>(
         sim,
-        vm.server_link,
+        link,
         down,
         deadline,
         [&sim, id, incarnation, handle, lost, intended = to.id]
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -77,6 +77,8 @@
     bool up = true;
     // Tasks continue, but no call arrives.
     bool partitioned = false;
+    // Calls are executed, but no reply arrives.
+    bool mute = false;
     // On the same side of a partition as this VM; no other VM reaches it.
     const fake_vm* only_reachable_from = nullptr;
     bool fails_all = false;
@@ -210,6 +212,8 @@
     // Tasks with a successful end that a scheduler has acknowledged.
     std::set<task_name> acknowledged_done;
     int starts = 0;
+    // Start orders that servers received, with repeated and refused ones.
+    int start_orders = 0;
     // Servers that crashed under each of the crashing tasks, and starts of the
     // task after the third of these crashes.
     std::map<task_name, int> crashes;
