All members of a newer attempt are dropped when an older one has succeeded

What callers would see: a leader that ends, or capacity that is held for good, after a gang turned out to have succeeded in an attempt that was given up.

Cause: the runs of the newer attempt were looked up by way of the task whose end was listed. If that task's newer run was gone already, as its server had restarted, none was found. complete() closes the gang all the same, and the other members stay in the commit that is in flight: their first order met the closed task, or, with the job removed, they stayed recorded as being placed.

Fix: job_progress::other_attempts returns all placed runs of other attempts of the task or of its gang.

--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -419,19 +419,14 @@
     }
 }
 
-// Current runs of the task or gang, if `ended` is an earlier attempt.
+// Placed runs of later attempts, with their servers.
 placed_runs dispatcher::newer_runs(const job_progress& job,
                                    const run_id& ended) const
 {
     placed_runs result;
-    const auto* task = job.task(ended.task);
-    if (task == nullptr || !task->server || task->attempt == ended.attempt)
+    for (const auto& run : job.other_attempts(ended))
     {
-        return result;
-    }
-    for (const auto& member : job.members({ended.task, task->attempt}))
-    {
-        result.emplace_back(server_of(member), member);
+        result.emplace_back(server_of(run), run);
     }
     return result;
 }
--- a/src/domain/job_progress.cpp
+++ b/src/domain/job_progress.cpp
@@ -528,17 +528,50 @@
     {
         return {run};
     }
+    auto result = placed_runs_of_gang(run.task);
+    std::erase_if(result,
+                  [&run](const run_id& other)
+                  { return other.attempt != run.attempt; });
+    return result;
+}
+
+std::vector<run_id> job_progress::other_attempts(const run_id& run) const
+{
+    const auto* found = task(run.task);
+    if (found == nullptr)
+    {
+        return {};
+    }
+    std::vector<run_id> result;
+    if (spec_of(run.task.step).gang)
+    {
+        result = placed_runs_of_gang(run.task);
+    }
+    else if (found->server)
+    {
+        result.push_back({run.task, found->attempt});
+    }
+    std::erase_if(result,
+                  [&run](const run_id& other)
+                  { return other.attempt == run.attempt; });
+    return result;
+}
+
+// Precondition: the repetition of the task is open.
+std::vector<run_id>
+job_progress::placed_runs_of_gang(const task_name& member) const
+{
     std::vector<run_id> result;
-    const auto& tasks = repetitions_.at(run.task.repetition)
-                            .steps[static_cast<std::size_t>(run.task.step)]
+    const auto& tasks = repetitions_.at(member.repetition)
+                            .steps[static_cast<std::size_t>(member.step)]
                             .tasks;
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
-        if (tasks[i].server && tasks[i].attempt == run.attempt)
+        if (tasks[i].server)
         {
-            auto name = run.task;
+            auto name = member;
             name.index = static_cast<int>(i);
-            result.push_back({name, run.attempt});
+            result.push_back({name, tasks[i].attempt});
         }
     }
     return result;
--- a/src/domain/job_progress.hpp
+++ b/src/domain/job_progress.hpp
@@ -194,6 +194,9 @@
     // a gang or is unknown.
     std::vector<run_id> members(const run_id& run) const;
 
+    // Placed runs of other attempts at the task, or at its gang.
+    std::vector<run_id> other_attempts(const run_id& run) const;
+
     void cancel();
     bool cancelled() const
     {
@@ -248,6 +251,7 @@
     void mark_changed(int repetition);
     task_progress* mutable_task(const task_name& name);
     step_progress& step_of(const task_name& name);
+    std::vector<run_id> placed_runs_of_gang(const task_name& member) const;
     bool dependencies_done(const repetition_progress& repetition,
                            int step) const;
     end_effect count_failure(const run_id& run, task_progress& task);
--- a/tests/domain_scheduler_test.cpp
+++ b/tests/domain_scheduler_test.cpp
@@ -223,6 +223,69 @@
     CHECK(wait_for_starts(5, milliseconds(5000)));
 }
 
+// Guards against a gang member that is left in a commit, when an older attempt
+// of the gang turns out to have succeeded and the newer run of the member that
+// lists this is gone: its start order ended the leader.
+TEST(domain_scheduler, success_of_older_gang_drops_all_newer_members)
+{
+    add_servers(4);
+    wait_for_leader();
+    sim.submit(0, job_id(1), "q2", one_step(2, 8, true));
+    CHECK(wait_for_starts(2));
+    std::set<std::string> first;
+    for (auto& [id, server] : sim.servers)
+    {
+        if (!server.active.empty())
+        {
+            first.insert(id);
+            server.partitioned = true;
+        }
+    }
+    // The next attempt is placed when the leases have run out. Its commit takes
+    // longer than what follows.
+    sim.run(milliseconds(3000));
+    auto* leader = sim.leader();
+    leader->store_link.write_delay = milliseconds(900);
+    const auto& registry = leader->scheduler->servers();
+    std::vector<run_id> second;
+    CHECK(sim.run_until(milliseconds(10000),
+                        [&]
+                        {
+                            for (const auto& [id, server] : registry.all())
+                            {
+                                for (const auto& [run, item] : server.runs)
+                                {
+                                    if (run.attempt == 2)
+                                    {
+                                        second.push_back(run);
+                                    }
+                                }
+                            }
+                            return !second.empty();
+                        }));
+    // The members were placed in the order of the servers.
+    for (auto& [id, server] : sim.servers)
+    {
+        if (!first.contains(id))
+        {
+            server.restart(sim.now);
+            sim.put_server(server);
+            break;
+        }
+    }
+    sim.run(milliseconds(50));
+    sim.servers.at(*first.begin()).partitioned = false;
+    CHECK(wait_for_completion(job_id(1), milliseconds(5000)));
+    sim.run(milliseconds(3000));
+    CHECK(sim.leader() == leader);
+    for (const auto& [id, server] : registry.all())
+    {
+        CHECK(first.contains(id) || server.runs.empty());
+    }
+    CHECK_EQUAL(2, sim.starts);
+    check_no_violations();
+}
+
 // Guards against waiting for the previous leader's leases on a server that was
 // removed while no VM ran: the wait of 21 s made the job miss its bound,
 // recovery_s. Seen on test site ongtm-sched, day scale-2, as LOST.
