No end is acknowledged before a server has replied again

What callers would see: a task that has succeeded is started again, or one that fails is started once more than its queue allows.

Cause: a server that starts again with its id numbers its ends anew, and an order names the id only. A leader that had no reply since the restart went on acknowledging the number of the earlier incarnation, and the new one discarded its ends up to that number.

Fix: the renewal that follows one without a reply acknowledges nothing. The server lists the ends again that it still has; those that were looked at have no effect.

--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -106,7 +106,10 @@
     {
         server.lease.grant(*order.lease_until);
     }
-    order.acknowledged_end = server.last_stored_end;
+    // A new incarnation of the same id numbers its ends anew and would discard
+    // those that no leader has seen.
+    order.acknowledged_end =
+        server.renewal_answered ? server.last_stored_end : 0;
     const bool unstored =
         server.has_held_end || server.last_applied_end > server.last_stored_end;
     if (server.adopted && !unstored)
@@ -141,6 +144,7 @@
         return;
     }
     server->renewal_in_flight = false;
+    server->renewal_answered = false;
     const auto now = hooks_.now();
     if (reply.order.outcome != order_outcome::done)
     {
@@ -217,6 +221,7 @@
         request_plan();
     }
     server.last_contact = now;
+    server.renewal_answered = true;
     if (lost_servers_.contains({id, server.registration.incarnation}))
     {
         on_server_returned(id, server);
--- a/src/domain/server_registry.hpp
+++ b/src/domain/server_registry.hpp
@@ -90,6 +90,8 @@
     // An end was not applied, since the progress of its job has not been read.
     bool has_held_end = false;
     bool renewal_in_flight = false;
+    // This incarnation has replied to the newest renewal.
+    bool renewal_answered = false;
     time_point next_renewal{};
     // After a refusal: no placement before this time.
     time_point placement_blocked_until{};
--- a/tests/domain_lost_replies_test.cpp
+++ b/tests/domain_lost_replies_test.cpp
@@ -99,3 +99,30 @@
     fixture.run_gang_with_mute_member(spec);
     fixture.check_gang_has_ended();
 }
+
+// Guards against discarding ends that no leader has seen: a server that had
+// started again with its id got the number acknowledged to its earlier
+// incarnation, and its task was started once more after it had succeeded.
+TEST(domain_lost_replies, unseen_ends_of_restarted_server_are_kept)
+{
+    domain_simulation sim;
+    sim.add_server("s0");
+    auto& server = sim.servers.at("s0");
+    server.task_time = milliseconds(300);
+    sim.run(milliseconds(3000));
+    sim.submit(0, "before", "q1", one_step(2, 1));
+    CHECK(sim.run_until(milliseconds(3000),
+                        [&] { return server.last_end_number == 2; }));
+    sim.run(milliseconds(500));
+    server.mute = true;
+    server.restart(sim.now);
+    sim.submit(0, "after", "q1", one_step(1, 1));
+    sim.run(milliseconds(1500));
+    CHECK_EQUAL(3, sim.starts);
+    server.mute = false;
+    CHECK(sim.run_until(
+        milliseconds(10000),
+        [&sim] { return sim.state("after") == step_job_state::completed; }));
+    CHECK_EQUAL(3, sim.starts);
+    CHECK(sim.violations.empty());
+}
