--- a/src/domain/dispatcher.cpp
+++ b/src/domain/dispatcher.cpp
@@ -288,19 +288,13 @@
         open_jobs_.insert_or_assign(job.id, std::move(restored)).first->second;
     for (const auto& [run, placed_on] : progress.placed_runs())
     {
-        auto& server = registry_.at(placed_on.id);
-        if (server.registration.incarnation == 0)
-        {
-            server.registration.incarnation = placed_on.incarnation;
-        }
-        // The order may have reached a later incarnation than the intended
-        // one; the first list of runs resolves it.
-        server_run run_record;
-        run_record.need = progress.spec_of(run.task.step).need;
-        run_record.lifecycle.phase = run_phase::unconfirmed;
-        run_record.started_at = hooks_.now();
-        run_record.use = progress.task(run.task)->use;
-        server.runs[run] = run_record;
+        auto& record = restore_run(run, placed_on);
+        record.need = progress.spec_of(run.task.step).need;
+        record.use = progress.task(run.task)->use;
+    }
+    for (const auto& [run, placed_on] : progress.awaited_runs())
+    {
+        restore_run(run, placed_on).mark_ended();
     }
     for (const auto& server : progress.lost_servers())
     {
@@ -308,6 +302,22 @@
     }
 }
 
+// Records a run of an earlier leader. Its order may have reached a later
+// incarnation than the intended one; the first list of runs resolves it.
+server_run& dispatcher::restore_run(const run_id& run,
+                                    const server_incarnation& placed_on)
+{
+    auto& server = registry_.at(placed_on.id);
+    if (server.registration.incarnation == 0)
+    {
+        server.registration.incarnation = placed_on.incarnation;
+    }
+    server_run record;
+    record.lifecycle.phase = run_phase::unconfirmed;
+    record.started_at = hooks_.now();
+    return server.runs[run] = record;
+}
+
 bool dispatcher::read_progress(job_progress& progress, failure& why) const
 {
     const auto found = progress_texts_.find(progress.job().id);
@@ -366,19 +376,11 @@
     }
     for (const auto& [run, placed_on] : runs)
     {
-        auto& server = registry_.at(placed_on.id);
-        if (server.registration.incarnation == 0)
-        {
-            server.registration.incarnation = placed_on.incarnation;
-        }
-        server_run run_record;
         const auto step = static_cast<std::size_t>(run.task.step);
-        run_record.need = job.job && step < job.job->spec.steps.size()
-                              ? job.job->spec.steps[step].need
-                              : job.largest_need;
-        run_record.lifecycle.phase = run_phase::unconfirmed;
-        run_record.started_at = hooks_.now();
-        server.runs[run] = run_record;
+        restore_run(run, placed_on).need =
+            job.job && step < job.job->spec.steps.size()
+                ? job.job->spec.steps[step].need
+                : job.largest_need;
     }
     return runs;
 }
--- a/src/domain/dispatcher.hpp
+++ b/src/domain/dispatcher.hpp
@@ -166,6 +166,8 @@
     void on_progress_page(table_scan_reply reply, time_point sent);
     void restore_jobs();
     void restore_job(const step_job& job);
+    server_run& restore_run(const run_id& run,
+                            const server_incarnation& placed_on);
     // Runs of a job whose rows are not read count on their servers.
     std::vector<std::pair<run_id, server_incarnation>>
     track_runs(const std::string& id,
@@ -273,7 +275,7 @@
                           const renewal_reply& reply);
     std::optional<server_clock> lease_for(const server_record& server) const;
     server_target target_of(const server_record& server) const;
-    void drop_ended_members(const std::string& id, server_record& server);
+    void release_ended_members(const std::string& id, server_record& server);
     void expire_lost_server(const std::string& id, server_record& server);
     void on_lost_runs(const std::string& id,
                       const std::map<run_id, server_run>& runs,
--- a/src/domain/dispatcher_limits.cpp
+++ b/src/domain/dispatcher_limits.cpp
@@ -88,7 +88,7 @@
                                   : nullptr;
             const auto found =
                 job == nullptr ? result.end() : result.find(job->customer);
-            if (found != result.end())
+            if (found != result.end() && !record.ended)
             {
                 found->second.held += charged_for_run(*job, accepted, run);
             }
--- a/src/domain/dispatcher_losses.cpp
+++ b/src/domain/dispatcher_losses.cpp
@@ -52,7 +52,7 @@
     std::vector<const run_id*> at_work;
     for (const auto& [run, record] : runs)
     {
-        if (record.lifecycle.phase != run_phase::placing)
+        if (record.lifecycle.phase != run_phase::placing && !record.ended)
         {
             (record.seen_at_work() ? at_work : suspects).push_back(&run);
         }
@@ -231,9 +231,11 @@
 
 // A gang of which only members on silent servers are left, and that was ended
 // by one of these, does not work any more: its tasks need not wait until the
-// leases have run out. Runs whose start was not confirmed may begin later.
-void dispatcher::drop_ended_members(const std::string& id,
-                                    server_record& server)
+// leases have run out. Runs whose start was not confirmed may begin later. The
+// runs stay recorded, since one of them may have failed, and its server may
+// list that as long as its lease lasts.
+void dispatcher::release_ended_members(const std::string& id,
+                                       server_record& server)
 {
     const auto now = hooks_.now();
     if (server.in_contact(now))
@@ -245,6 +247,7 @@
     {
         const auto job = open_jobs_.find(run.task.job);
         if (!record.confirmed || job == open_jobs_.end() ||
+            job->second.task_of_placed(run) == nullptr ||
             !gang_ends_.ended_elsewhere(run, now))
         {
             continue;
@@ -272,9 +275,16 @@
     record_losses(id, server.runs, ended, false);
     for (const auto& [run, record] : ended)
     {
-        drop_run(id, run, "", "its gang has ended on a silent server");
-        const auto job = open_jobs_.find(run.task.job);
-        if (job == open_jobs_.end() || job->second.members(run).empty())
+        auto& job = open_jobs_.at(run.task.job);
+        job.await_end(run);
+        server.runs.at(run).mark_ended();
+        run_log_.add(log_level::info,
+                     "Ends are not listed yet.",
+                     run,
+                     id,
+                     "its gang has ended on a silent server");
+        mark_dirty(run.task.job);
+        if (job.members(run).empty())
         {
             gang_ends_.forget(run);
         }
--- a/src/domain/dispatcher_servers.cpp
+++ b/src/domain/dispatcher_servers.cpp
@@ -44,7 +44,7 @@
     for (auto& [id, server] : registry_.all())
     {
         expire_lost_server(id, server);
-        drop_ended_members(id, server);
+        release_ended_members(id, server);
         if (!server.renewal_in_flight && now >= server.next_renewal &&
             !server.registration.address.empty())
         {
@@ -263,7 +263,8 @@
 {
     const auto now = hooks_.now();
     const auto found = server.runs.find(listed.run);
-    if (found != server.runs.end())
+    // A run that was taken for ended is stopped like an unknown one.
+    if (found != server.runs.end() && !found->second.ended)
     {
         auto& run = found->second;
         if (run.listed_at < run.started_at + harmless_run_time &&
@@ -373,6 +374,7 @@
         id,
         std::string(name_of(end.outcome)).append(": ").append(effect_text));
     hooks_.count("runs_" + std::string(name_of(end.outcome)), 1);
+    hooks_.count("late_failures", effect.late_failure ? 1 : 0);
     request_plan();
     if (!effect.applied)
     {
--- a/src/domain/job_progress.cpp
+++ b/src/domain/job_progress.cpp
@@ -135,6 +135,17 @@
         { return repetition.steps[static_cast<std::size_t>(earlier)].done(); });
 }
 
+// True if the gang has failed as often as it may, should the attempts whose
+// ends are not listed yet have failed too.
+bool job_progress::may_have_failed(const step_spec& spec,
+                                   const step_progress& step) const
+{
+    const auto& failures = step.gang_failures;
+    return !spec.long_running &&
+           failures.count() + step.unlisted.attempts_besides(failures) >=
+               job_.policy.max_attempts;
+}
+
 std::vector<int> job_progress::ready_tasks(int repetition, int step) const
 {
     const auto found = repetitions_.find(repetition);
@@ -143,8 +154,8 @@
     {
         return {};
     }
-    const auto& tasks =
-        found->second.steps[static_cast<std::size_t>(step)].tasks;
+    const auto& progress = found->second.steps[static_cast<std::size_t>(step)];
+    const auto& tasks = progress.tasks;
     std::vector<int> result;
     for (std::size_t i = 0; i < tasks.size(); ++i)
     {
@@ -154,7 +165,8 @@
         }
     }
     // A gang is placed as a whole or not at all.
-    if (spec_of(step).gang && result.size() < tasks.size())
+    if (spec_of(step).gang && (result.size() < tasks.size() ||
+                               may_have_failed(spec_of(step), progress)))
     {
         return {};
     }
@@ -286,7 +298,16 @@
                                     const std::string& checkpoint)
 {
     auto* task = mutable_task(run.task);
-    if (task == nullptr || !task->server || task->attempt != run.attempt)
+    if (task == nullptr)
+    {
+        return false;
+    }
+    if (step_of(run.task).unlisted.remove(run.task.index, run.attempt))
+    {
+        mark_changed(run.task.repetition);
+        return true;
+    }
+    if (task_of_placed(run) == nullptr)
     {
         return false;
     }
@@ -296,6 +317,15 @@
     return true;
 }
 
+void job_progress::await_end(const run_id& run)
+{
+    auto* task = mutable_task(run.task);
+    step_of(run.task).unlisted.add(
+        {run.task.index, run.attempt, *task->server});
+    task->server.reset();
+    mark_changed(run.task.repetition);
+}
+
 end_effect job_progress::record_end(const run_id& run,
                                     run_outcome outcome,
                                     const std::string& checkpoint)
@@ -306,11 +336,17 @@
     {
         return effect;
     }
-    const bool is_current_run = task->server && task->attempt == run.attempt;
-    // Success of an earlier attempt is applied as well, since it completes the
-    // task. A long-running step is never complete.
-    if (!is_current_run &&
-        (outcome != run_outcome::done || spec_of(run.task.step).long_running))
+    const bool is_current_run = task_of_placed(run) != nullptr;
+    const bool was_awaited =
+        step_of(run.task).unlisted.remove(run.task.index, run.attempt);
+    // Of an earlier attempt, success completes the task, and a failure that was
+    // not counted uses up one of its attempts. A long-running step is never
+    // complete, and its failures do not count.
+    const bool counts_late = !spec_of(run.task.step).long_running &&
+                             (outcome == run_outcome::done ||
+                              (outcome == run_outcome::failed &&
+                               !failures_of(run.task).contains(run.attempt)));
+    if (!is_current_run && !was_awaited && !counts_late)
     {
         return effect;
     }
@@ -323,7 +359,8 @@
     }
     if (outcome == run_outcome::failed)
     {
-        effect.job_failed = count_failure(run, *task).job_failed;
+        effect.late_failure = !is_current_run;
+        effect.job_failed = count_failure(run);
         return effect;
     }
     if (outcome == run_outcome::done && !spec_of(run.task.step).long_running)
@@ -332,35 +369,38 @@
         complete(run);
         return effect;
     }
-    save_checkpoint(run, checkpoint);
+    if (is_current_run)
+    {
+        save_checkpoint(run, checkpoint);
+    }
     return effect;
 }
 
-end_effect job_progress::count_failure(const run_id& run, task_progress& task)
+bool job_progress::count_failure(const run_id& run)
 {
-    end_effect effect;
-    const auto& spec = spec_of(run.task.step);
     // A long-running step runs until the job is cancelled: its failures are not
     // counted, so that they never fail the job.
-    if (spec.long_running)
+    if (spec_of(run.task.step).long_running)
     {
-        return effect;
+        return false;
     }
-    int failures = ++task.failures;
-    // An attempt of a gang counts once, however many of its members fail.
-    if (spec.gang)
+    auto& failures = failures_of(run.task);
+    failures.add(run.attempt);
+    if (failures.count() < job_.policy.max_attempts || is_final(state()))
     {
-        auto& step = step_of(run.task);
-        if (step.last_failed_attempt != run.attempt)
-        {
-            step.last_failed_attempt = run.attempt;
-            ++step.gang_failures;
-        }
-        failures = step.gang_failures;
+        return false;
     }
-    effect.job_failed = failures >= job_.policy.max_attempts;
-    failed_ = failed_ || effect.job_failed;
-    return effect;
+    failed_ = true;
+    return true;
+}
+
+// Precondition: the repetition of the task is open.
+failed_attempts& job_progress::failures_of(const task_name& name)
+{
+    auto& step = step_of(name);
+    return spec_of(name.step).gang
+               ? step.gang_failures
+               : step.tasks[static_cast<std::size_t>(name.index)].failures;
 }
 
 void job_progress::complete(const run_id& run)
@@ -374,6 +414,7 @@
             task.done = true;
             task.server.reset();
         }
+        step.unlisted = {};
     }
     else
     {
@@ -522,6 +563,26 @@
     return result;
 }
 
+std::vector<std::pair<run_id, server_incarnation>>
+job_progress::awaited_runs() const
+{
+    std::vector<std::pair<run_id, server_incarnation>> result;
+    for (const auto& [number, repetition] : repetitions_)
+    {
+        for (std::size_t step = 0; step < repetition.steps.size(); ++step)
+        {
+            for (const auto& end : repetition.steps[step].unlisted.all())
+            {
+                result.push_back(
+                    {{{job_.id, number, static_cast<int>(step), end.task},
+                      end.attempt},
+                     end.server});
+            }
+        }
+    }
+    return result;
+}
+
 std::vector<run_id> job_progress::members(const run_id& run) const
 {
     if (task(run.task) == nullptr || !spec_of(run.task.step).gang)
--- a/src/domain/job_progress.hpp
+++ b/src/domain/job_progress.hpp
@@ -4,6 +4,7 @@
 #ifndef POPLARRAMP_DOMAIN_JOB_PROGRESS_HPP
 #define POPLARRAMP_DOMAIN_JOB_PROGRESS_HPP
 
+#include "domain/attempt_ends.hpp"
 #include "domain/crash_evidence.hpp"
 #include "domain/server_api.hpp"
 #include "domain/server_registry.hpp"
@@ -31,7 +32,8 @@
     std::optional<server_incarnation> server;
     // Attempt number of the newest run; 0: none yet.
     int attempt = 0;
-    int failures = 0;
+    // Of a task that is in no gang.
+    failed_attempts failures;
     std::string checkpoint;
     crash_evidence crashes;
     // A run was stopped for a more urgent job; not stored, so that a new leader
@@ -44,10 +46,9 @@
 struct step_progress
 {
     std::vector<task_progress> tasks;
-    // Failed attempts of a gang; an attempt counts once, however many of its
-    // members fail.
-    int gang_failures = 0;
-    int last_failed_attempt = 0;
+    // Of a gang; an attempt counts once, however many of its members fail.
+    failed_attempts gang_failures;
+    unlisted_ends unlisted;
     // When the step first had tasks to place; not stored.
     time_point ready_since{};
     // Since when long-running tasks that have run before wait to be placed; not
@@ -71,12 +72,15 @@
 // Effect of the end of a run on its job.
 struct end_effect
 {
-    // The end was of the task's current run, or a success of an earlier one.
+    // The end was of the task's current run, or of an earlier one and changed
+    // what is known of the task.
     bool applied = false;
     // The task, or the whole gang, is now done.
     bool completed = false;
     // The job has now failed.
     bool job_failed = false;
+    // A failure was counted of a run that had been given up.
+    bool late_failure = false;
 };
 
 // Not thread safe.
@@ -119,7 +123,9 @@
 
     // Tasks that can be placed: neither done nor placed, and the steps that
     // this step depends on are done. All tasks of a gang or none, because a
-    // gang is placed as a whole or not at all. None if the job has ended.
+    // gang is placed as a whole or not at all. None if the job has ended, or if
+    // the ends that are not listed yet may turn out to be the last failures
+    // that it may have.
     std::vector<int> ready_tasks(int repetition, int step) const;
 
     // Next attempt number for tasks that start together.
@@ -146,11 +152,17 @@
     bool confirm_start();
 
     // Removes the placement of a run that does not exist and left no end
-    // record. Counts no failure. Returns false and does nothing if it is not
-    // the current run of its task.
+    // record. Counts no failure. Returns false and does nothing if it is
+    // neither the current run of its task nor one with an unlisted end.
     bool remove_placement(const run_id& run, const std::string& checkpoint);
 
-    // Applies an end record of a server.
+    // Removes the placement of a gang member that has ended, but whose server
+    // has not listed how. `record_end` or `remove_placement` has to follow.
+    // Precondition: it is the current run of its task.
+    void await_end(const run_id& run);
+
+    // Applies an end record of a server. A failure counts once for each attempt
+    // of the task or gang, also if a later attempt is at work.
     end_effect record_end(const run_id& run,
                           run_outcome outcome,
                           const std::string& checkpoint);
@@ -190,6 +202,9 @@
     std::vector<std::pair<run_id, server_incarnation>>
     placed_runs(int repetition) const;
 
+    // Runs with an end that is not listed yet, with their servers.
+    std::vector<std::pair<run_id, server_incarnation>> awaited_runs() const;
+
     // Placed runs of the same gang attempt. The run alone if its task is not in
     // a gang or is unknown.
     std::vector<run_id> members(const run_id& run) const;
@@ -254,7 +269,11 @@
     std::vector<run_id> placed_runs_of_gang(const task_name& member) const;
     bool dependencies_done(const repetition_progress& repetition,
                            int step) const;
-    end_effect count_failure(const run_id& run, task_progress& task);
+    bool may_have_failed(const step_spec& spec,
+                         const step_progress& step) const;
+    // Returns true if the job has failed by that.
+    bool count_failure(const run_id& run);
+    failed_attempts& failures_of(const task_name& name);
     void complete(const run_id& run);
     void close_repetition_if_done(int repetition);
     repetition_progress& open_repetition(int repetition);
--- a/src/domain/planning_view.cpp
+++ b/src/domain/planning_view.cpp
@@ -296,7 +296,10 @@
             }
             for (const auto& [run, run_record] : server.runs)
             {
-                add_run(server, run, run_record, usable);
+                if (!run_record.ended)
+                {
+                    add_run(server, run, run_record, usable);
+                }
             }
         }
         view_.input.utilization =
--- a/src/domain/server_registry.cpp
+++ b/src/domain/server_registry.cpp
@@ -12,6 +12,13 @@
 
 } // namespace
 
+void server_run::mark_ended()
+{
+    ended = true;
+    need = resources{};
+    use = server_use::shared;
+}
+
 bool server_run::seen_at_work() const
 {
     const auto shown_by =
--- a/src/domain/server_registry.hpp
+++ b/src/domain/server_registry.hpp
@@ -60,8 +60,14 @@
     progress_mark progress;
     // Listed by the server, but not recorded here before.
     bool untracked = false;
+    // It is known from others to have ended, but the server has not listed how.
+    bool ended = false;
     server_use use = server_use::shared;
 
+    // Records that the run has ended, although its server has not listed how:
+    // it takes no resources any more.
+    void mark_ended();
+
     // The server has listed the run some time after its start, so that the
     // start itself did no harm. The start of a run of an earlier leader was
     // before the election.
--- a/tests/domain_simulation.cpp
+++ b/tests/domain_simulation.cpp
@@ -85,6 +85,10 @@
         return;
     }
     sim.on_end(found->second, outcome);
+    if (outcome == run_outcome::failed)
+    {
+        sim.budget.on_failed(run, sim.now);
+    }
     active.erase(found);
     ended.push_back({++last_end_number, run, outcome});
     highest_attempt[run.task] =
@@ -131,6 +135,10 @@
         return;
     }
     const auto now = sim.now;
+    for (auto& item : ended)
+    {
+        item.lapsed = item.lapsed || clock(now) > lease_until;
+    }
     std::vector<std::pair<run_id, run_outcome>> ends;
     for (const auto& [run, item] : active)
     {
@@ -138,8 +146,9 @@
         const auto outcome = clock(now) > lease_until
                                  ? run_outcome::lease_expired
                              : item.stops_at ? run_outcome::stopped
-                             : fails_all     ? run_outcome::failed
-                                             : run_outcome::done;
+                             : fails_all || sim.failing_tasks.contains(run.task)
+                                 ? run_outcome::failed
+                                 : run_outcome::done;
         if (outcome == run_outcome::lease_expired ||
             (item.stops_at && now >= *item.stops_at) ||
             (!item.stops_at && finished))
@@ -151,6 +160,14 @@
     {
         end(sim, run, outcome);
     }
+    for (const auto& [run, outcome] : ends)
+    {
+        if (outcome == run_outcome::failed &&
+            sim.failing_tasks.contains(run.task))
+        {
+            sim.break_gangs({run});
+        }
+    }
 }
 
 // A server shortens a lease that is longer than its maximum, as of an order for
@@ -201,8 +218,10 @@
     }
     sim.on_start(*this, order.run);
     const auto of_job = sim.task_times.find(order.run.task.job);
-    const auto run_time =
-        of_job == sim.task_times.end() ? task_time : of_job->second;
+    const auto fails = sim.failing_tasks.find(order.run.task);
+    const auto run_time = fails != sim.failing_tasks.end() ? fails->second
+                          : of_job == sim.task_times.end() ? task_time
+                                                           : of_job->second;
     active[order.run] = {order.run,
                          sim.now + run_time.count(),
                          sim.now,
@@ -260,11 +279,18 @@
     }
     for (const auto& item : ended)
     {
-        if (item.number <= order.acknowledged_end &&
-            item.outcome == run_outcome::done)
+        if (item.number > order.acknowledged_end)
+        {
+            continue;
+        }
+        if (item.outcome == run_outcome::done)
         {
             sim.acknowledged_done.insert(item.run.task);
         }
+        if (item.outcome == run_outcome::failed && !item.lapsed)
+        {
+            sim.budget.on_noted(sim, item.run);
+        }
     }
     std::erase_if(ended,
                   [&order](const fake_run_end& item)
@@ -1203,6 +1229,7 @@
 void domain_simulation::on_start(const fake_server& server, const run_id& run)
 {
     ++starts;
+    budget.on_start(*this, run);
     started_jobs.insert(run.task.job);
     if (acknowledged_done.contains(run.task))
     {
--- a/tests/domain_simulation.hpp
+++ b/tests/domain_simulation.hpp
@@ -7,6 +7,7 @@
 #include "domain/job_api.hpp"
 #include "domain/leadership.hpp"
 #include "domain/row_watcher.hpp"
+#include "domain_budget_check.hpp"
 #include "domain_phase_check.hpp"
 #include "relay/relay_http.hpp"
 
@@ -55,6 +56,8 @@
     std::uint64_t number = 0;
     run_id run;
     run_outcome outcome = run_outcome::done;
+    // The lease of the server has run out since.
+    bool lapsed = false;
 };
 
 struct domain_simulation;
@@ -201,6 +204,9 @@
     bool learn_speeds = false;
     // Tasks that crash each server that starts them, this long after the start.
     std::map<task_name, milliseconds> crashing_tasks;
+    // Tasks of which each run fails, this long after its start. The other
+    // members of their gangs end with them.
+    std::map<task_name, milliseconds> failing_tasks;
     // A server that has crashed is back after this time, under another id at
     // the same address, or as a new incarnation of its own id.
     milliseconds crash_downtime{3200};
@@ -208,6 +214,7 @@
     // The most that customers may run over all servers; checked at each start.
     std::map<std::string, resources> checked_limits;
     violation_list violations;
+    budget_check budget;
 
     // Tasks with a successful end that a scheduler has acknowledged.
     std::set<task_name> acknowledged_done;
@@ -261,6 +268,8 @@
 
     void on_start(const fake_server& server, const run_id& run);
     void on_end(const fake_run& run, run_outcome outcome);
+    // Ends the other members of the gangs that had these runs.
+    void break_gangs(const std::vector<run_id>& lost);
     void check_capacity(fake_server& server);
     // Resources that a customer's runs really use.
     resources running(const std::string& customer) const;
@@ -272,8 +281,6 @@
     void crash_if_due(const fake_server& server, const run_id& run);
 
 private:
-    // Ends the other members of the gangs that had these runs.
-    void break_gangs(const std::vector<run_id>& lost);
     void revive_server(const std::string& id);
 
     std::multimap<std::int64_t, std::function<void()>> actions_;
--- a/tests/domain_soak_test.cpp
+++ b/tests/domain_soak_test.cpp
@@ -40,6 +40,7 @@
 // With servers that crash or change their capacity, beside tasks that crash the
 // servers that start them.
 constexpr std::size_t crash_fault_kinds = 22;
+constexpr int max_attempts = 3;
 
 class soak_run
 {
@@ -77,6 +78,22 @@
         sim_.checked_limits[customer.name] = customer.limit;
     }
 
+    // Two of three jobs have a task that fails in each run. Beside the other
+    // faults, servers list their ends late.
+    void fail_tasks()
+    {
+        tasks_fail_ = true;
+        for (auto& [id, server] : sim_.servers)
+        {
+            server.task_time = milliseconds(600);
+        }
+        for (auto faults = 20 + pick(20); faults > 0; --faults)
+        {
+            sim_.at(sim_.now + 2000 + pick(fault_window_ms),
+                    [this] { delay_ends(); });
+        }
+    }
+
     // Kills the leader again and again, at random times after its election.
     void kill_leaders(int kills)
     {
@@ -124,8 +141,9 @@
         for (int i = 0; i < job_count; ++i)
         {
             const auto id = std::string("job-").append(std::to_string(i));
-            if (sim_.state(id) == step_job_state::failed &&
-                !crashing_jobs_.contains(id))
+            const bool may_fail = crashing_jobs_.contains(id) ||
+                                  sim_.budget.failures_of(id) >= max_attempts;
+            if (sim_.state(id) == step_job_state::failed && !may_fail)
             {
                 text += id + " was given up; ";
             }
@@ -167,6 +185,16 @@
             crashing_jobs_.insert(id);
             sim_.crashing_tasks[{id, 0, 0, 0}] = milliseconds(5 + pick(300));
         }
+        if (tasks_fail_ && number % 3 != 2)
+        {
+            const milliseconds fails_after(100 + pick(900));
+            sim_.failing_tasks[{id, 0, 0, 0}] = fails_after;
+            // Two members fail at the same moment.
+            if (gang)
+            {
+                sim_.failing_tasks[{id, 0, 0, 1}] = fails_after;
+            }
+        }
         const auto queue = std::string("q").append(std::to_string(priority));
         auto on_reply = [this, number, id](const job_api_reply& reply)
         {
@@ -246,6 +274,21 @@
         (this->*kinds[kind])();
     }
 
+    // Faults after which servers list their ends late.
+    void delay_ends()
+    {
+        const std::vector<void (soak_run::*)()> kinds{
+            &soak_run::cut_off_server,
+            &soak_run::cut_off_server,
+            &soak_run::mute_server,
+            &soak_run::partition_server,
+            &soak_run::lose_replies,
+            &soak_run::kill_vm,
+        };
+        const auto kind = pick(static_cast<std::int64_t>(kinds.size()));
+        (this->*kinds[static_cast<std::size_t>(kind)])();
+    }
+
     void kill_vm()
     {
         auto& vm = pick_vm();
@@ -499,6 +542,22 @@
         schedule_recovery([this, &server, full] { server.resize(sim_, full); });
     }
 
+    void mute_server()
+    {
+        auto& server = pick_server();
+        server.mute = true;
+        schedule_recovery([&server] { server.mute = false; });
+    }
+
+    // For less than the time that its leases last.
+    void cut_off_server()
+    {
+        auto& server = pick_server();
+        server.partitioned = true;
+        sim_.at(sim_.now + 300 + pick(4500),
+                [&server] { server.partitioned = false; });
+    }
+
     // Removes a server permanently and adds a new one.
     void replace_server()
     {
@@ -535,6 +594,7 @@
     domain_simulation sim_;
     const std::size_t fault_kinds_;
     int next_server_ = 0;
+    bool tasks_fail_ = false;
     std::set<std::string> accepted_;
     std::set<std::string> crashing_jobs_;
 };
@@ -658,3 +718,19 @@
         check_seed(seed, crash_fault_kinds);
     }
 }
+
+// Guards against attempts beyond the limit, and against failures that count
+// twice or not at all, under cuts, losses, late lists and takeovers.
+TEST(domain_soak, failing_tasks)
+{
+    const auto first = number_from_environment("POPLARRAMP_SOAK_FIRST", 1);
+    const auto seeds = number_from_environment("POPLARRAMP_SOAK_SEEDS", 60);
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed)
+    {
+        soak_run run(seed);
+        run.fail_tasks();
+        const auto text = run.run();
+        const auto message = "seed " + std::to_string(seed) + ": " + text;
+        CHECK_TEXT(text.empty(), message.c_str());
+    }
+}
--- a/tests/domain_units_test.cpp
+++ b/tests/domain_units_test.cpp
@@ -223,6 +223,92 @@
     CHECK(!progress.record_end(run_of(0, 2), run_outcome::failed, "").applied);
 }
 
+// Guards against an extra attempt for a failure that is listed late, and
+// against counting an attempt twice if its end is listed again, also to a new
+// leader.
+TEST(job_progress, late_failure_counts_once)
+{
+    const auto job = job_of(1, false);
+    job_progress progress(job);
+    progress.open_due_repetitions(0);
+    progress.place(run_of(0, 1), {"a", 1});
+    progress.remove_placement(run_of(0, 1), "");
+    progress.place(run_of(0, 2), {"b", 1});
+    const auto record_failure = [](job_progress& target, int attempt)
+    {
+        return target.record_end(run_of(0, attempt), run_outcome::failed, "");
+    };
+    CHECK(record_failure(progress, 1).applied);
+    job_progress copy(job);
+    failure why;
+    CHECK(copy.read(progress.to_text(), why));
+    for (auto* target : {&progress, &copy})
+    {
+        CHECK(!record_failure(*target, 1).applied);
+        CHECK(target->state() == step_job_state::running);
+        CHECK(record_failure(*target, 2).job_failed);
+    }
+    // A cancelled job stays cancelled.
+    job_progress cancelled(job);
+    cancelled.open_due_repetitions(0);
+    cancelled.place(run_of(0, 2), {"a", 1});
+    record_failure(cancelled, 1);
+    cancelled.cancel();
+    CHECK(!record_failure(cancelled, 2).job_failed);
+    CHECK(cancelled.state() == step_job_state::cancelled);
+}
+
+// Guards against a gang that starts while the end of its last attempt is
+// unknown, also under a new leader, and one that waits once the end is known.
+TEST(job_progress, gang_waits_for_unlisted_end)
+{
+    const auto job = job_of(2, true);
+    job_progress progress(job);
+    progress.open_due_repetitions(0);
+    const auto begin_attempt = [&progress](int attempt)
+    {
+        progress.place(run_of(0, attempt), {"a", 7});
+        progress.place(run_of(1, attempt), {"b", 7});
+    };
+    begin_attempt(1);
+    progress.await_end(run_of(0, 1));
+    progress.record_end(run_of(1, 1), run_outcome::gang_ended, "");
+    CHECK_EQUAL(2U, progress.ready_tasks(0, 0).size());
+    begin_attempt(2);
+    progress.record_end(run_of(0, 2), run_outcome::failed, "");
+    progress.record_end(run_of(1, 2), run_outcome::gang_ended, "");
+    job_progress copy(job);
+    failure why;
+    CHECK(copy.read(progress.to_text(), why));
+    STRCMP_EQUAL(progress.to_text().c_str(), copy.to_text().c_str());
+    CHECK_EQUAL(1U, copy.awaited_runs().size());
+    CHECK(copy.ready_tasks(0, 0).empty());
+    CHECK(progress.ready_tasks(0, 0).empty());
+    CHECK(copy.record_end(run_of(0, 1), run_outcome::failed, "").job_failed);
+    CHECK(progress.remove_placement(run_of(0, 1), ""));
+    CHECK_EQUAL(2U, progress.ready_tasks(0, 0).size());
+}
+
+// Guards against counting a failure again that an earlier program has counted,
+// whose rows do not name the attempts.
+TEST(job_progress, reads_failures_without_numbers)
+{
+    job_progress progress(job_of(2, true));
+    failure why;
+    CHECK(progress.read(
+        R"({"open":{"0":[{"gang_failures":1,"failed_attempt":2,"tasks":[)"
+        R"([0,2,1,"",0,""],[1,2,0,"",0,""]]}]},"opened":1})",
+        why));
+    CHECK(!progress.record_end(run_of(1, 2), run_outcome::failed, "").applied);
+    CHECK(
+        progress.record_end(run_of(1, 3), run_outcome::failed, "").job_failed);
+    const std::string bad = R"({"open":{"0":[{"gang_failures":1,)";
+    CHECK(!job_progress(job_of(2, true))
+               .read(bad + R"("failed_attempts":[2,1]}]}})", why));
+    CHECK(!job_progress(job_of(2, true))
+               .read(bad + R"("unlisted":[[2,1,"a",7]]}]}})", why));
+}
+
 // Guards against a late report of an earlier run that replaces the checkpoint
 // of the current one, whose work would be done again.
 TEST(job_progress, late_end_of_long_running_step_keeps_checkpoint)
